--- /dev/null
+++ b/src/coordination/context.h
@@ -0,0 +1,80 @@
+// What all parts of the core share: the clock reading, the settings, the way out.
+#pragma once
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+#include "coordination/messages.h"
+#include "coordination/tunables.h"
+
+namespace rushtrestle::coordination {
+
+struct Clock {
+  double steady = 0;  // seconds, from anywhere
+  double wall = 0;    // seconds, time of day
+};
+
+/// Lets `rate` through per second, with a second's worth at once; may be overdrawn by one use.
+class TokenBucket {
+ public:
+  void set_rate(double rate) { rate_ = rate; }
+  bool ready(double now) {
+    tokens_ = std::min(std::max(1.0, rate_), tokens_ + (now - last_) * rate_);
+    last_ = now;
+    return tokens_ > 0;
+  }
+  void take(double amount) { tokens_ -= amount; }
+
+ private:
+  double rate_ = 1, tokens_ = 1, last_ = 0;
+};
+
+class Context {
+ public:
+  using Handler = std::function<void(CallDone&&)>;
+  Context(const store::Settings& s, const store::OperatorSettings& o, std::string incarnation_name, uint64_t seed)
+      : settings(s), operators(o), tune(s), incarnation(std::move(incarnation_name)), rng(seed) {}
+
+  const store::Settings settings;
+  const store::OperatorSettings operators;
+  const Tunables tune;
+  const std::string incarnation;
+  std::mt19937_64 rng;
+  double now = 0, wall = 0;
+  std::vector<Effect> out;
+  std::map<std::string, uint64_t> counters;
+  LogLine::Level log_level = LogLine::Level::info;
+
+  void call(CallBody body, double timeout_s, Handler handler) {
+    const CallId id = ++last_call_;
+    handlers_[id] = std::move(handler);
+    out.push_back(Call{id, timeout_s, std::move(body)});
+  }
+  void returned(CallDone&& done) {
+    auto node = handlers_.extract(done.call);
+    if (!node.empty()) node.mapped()(std::move(done));
+  }
+  double jitter(double seconds) { return seconds * std::uniform_real_distribution<>(0.75, 1.25)(rng); }
+  bool logs(LogLine::Level level) const { return level <= log_level; }
+  void log(LogLine::Level level, std::string text) {
+    if (logs(level)) out.push_back(LogLine{level, std::move(text)});
+  }
+  void info(std::string text) { log(LogLine::Level::info, std::move(text)); }
+  void debug(std::string text) { log(LogLine::Level::debug, std::move(text)); }
+  /// Once per kind and lease: a failure that lasts must not flood the log.
+  void complain(const std::string& kind, const std::string& text) {
+    auto& last = complained_[kind];
+    if (last != 0 && now - last < settings.lease_s) return;
+    last = now;
+    log(LogLine::Level::error, text);
+  }
+
+ private:
+  CallId last_call_ = 0;
+  std::unordered_map<CallId, Handler> handlers_;
+  std::map<std::string, double> complained_;
+};
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/core.cpp
@@ -0,0 +1,88 @@
+#include "coordination/core.h"
+
+namespace rushtrestle::coordination {
+
+Core::Core(const store::Settings& settings, const store::OperatorSettings& operators, std::string incarnation, uint64_t seed,
+           LogLine::Level log_level)
+    : ctx_(settings, operators, std::move(incarnation), seed),
+      model_(*this),
+      link_(ctx_, model_),
+      members_(ctx_, model_, link_),
+      owner_(ctx_, model_, link_, members_, images_),
+      leader_(ctx_, model_, link_, members_, images_),
+      users_(ctx_, model_, link_, members_) {
+  ctx_.log_level = log_level;
+  link_.on_lease_lost = [this] { members_.lease_lost(); };
+  members_.own_state = [this] { return own_state(); };
+  members_.on_gained = [this](int part) { owner_.gained(part); };
+  members_.on_lost = [this](int part) { owner_.lost(part); };
+}
+
+void Core::job_changed(const std::string& id) {
+  owner_.job_changed(id);
+  leader_.job_changed(id);
+}
+void Core::machine_changed(const std::string& id) { owner_.machine_changed(id); }
+void Core::holder_changed(const std::string& key) { members_.holder_changed(key); }
+
+PeerState Core::own_state() const {
+  PeerState s;
+  s.node = ctx_.settings.node;
+  s.incarnation = ctx_.incarnation;
+  s.has_state = link_.lease_valid() && !link_.in_doubt();
+  s.synced = link_.synced();
+  s.backlog = link_.backlog();
+  for (int p = 0; p < members_.parts(); ++p)
+    if (members_.held(p) != 0) s.parts.push_back(p);
+  s.heard = owner_.heard();
+  return s;
+}
+
+store::Json Core::stats() const {
+  store::Json j = {{"node", ctx_.settings.node}, {"revision", model_.revision()}, {"leading", members_.leading()},
+                   {"state_lease", link_.lease_valid()}, {"write_backlog", link_.backlog()}};
+  j["known_jobs"] = model_.jobs().size();
+  j["owner"] = owner_.stats();
+  j["counters"] = ctx_.counters;
+  return j;
+}
+
+void Core::take(Command&& command) {
+  struct Taker {
+    Core& core;
+    void operator()(SubmitJob&& c) { core.users_.submit(std::move(c)); }
+    void operator()(QueryJob&& c) { core.users_.query(c); }
+    void operator()(CancelJob&& c) { core.users_.cancel(c); }
+    void operator()(CheckHealth&& c) {
+      core.ctx_.out.push_back(AnswerUser{c.request, core.users_.healthy() ? 200 : 503, std::nullopt, 1});
+    }
+    void operator()(ShowStats&& c) { core.ctx_.out.push_back(AnswerStats{c.request, core.stats()}); }
+    void operator()(TakeReport&& c) { core.owner_.take_report(c.request, std::move(c.report)); }
+    void operator()(TakePeerState&& c) {
+      core.members_.heard(c.state);
+      core.ctx_.out.push_back(AnswerPeer{c.request, core.own_state()});
+    }
+    void operator()(CallDone&& c) { core.ctx_.returned(std::move(c)); }
+    void operator()(Tick&&) {}
+  };
+  std::visit(Taker{*this}, std::move(command));
+}
+
+std::vector<Effect> Core::handle(std::deque<Command>& commands, const Clock& clock) {
+  ctx_.now = clock.steady;
+  ctx_.wall = clock.wall;
+  while (!commands.empty()) {
+    Command c = std::move(commands.front());
+    commands.pop_front();
+    take(std::move(c));
+  }
+  members_.tick();
+  users_.tick();
+  owner_.tick();
+  leader_.tick();
+  owner_.work();
+  link_.tick();  // last: what the others want to write leaves in the same batch
+  return std::exchange(ctx_.out, {});
+}
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/core.h
@@ -0,0 +1,42 @@
+// One owner of all state. Commands and a clock reading go in, effects come out;
+// no sockets, no clock of its own.
+#pragma once
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "coordination/leader.h"
+#include "coordination/owner.h"
+#include "coordination/users.h"
+
+namespace rushtrestle::coordination {
+
+class Core : private store::Model::Listener {
+ public:
+  Core(const store::Settings& settings, const store::OperatorSettings& operators, std::string incarnation, uint64_t seed,
+       LogLine::Level log_level = LogLine::Level::error);
+
+  /// Works off a batch of commands; the effects are to be carried out in order.
+  std::vector<Effect> handle(std::deque<Command>& commands, const Clock& clock);
+  /// How long until `handle` wants to be called again with a Tick.
+  double tick_every() const { return ctx_.settings.report_s / 80; }
+
+ private:
+  void job_changed(const std::string& id) override;
+  void machine_changed(const std::string& id) override;
+  void holder_changed(const std::string& key) override;
+  PeerState own_state() const;
+  store::Json stats() const;
+  void take(Command&& command);
+
+  Context ctx_;
+  store::Model model_;
+  StateLink link_;
+  Membership members_;
+  ImageCaches images_;
+  Owner owner_;
+  Leader leader_;
+  Users users_;
+};
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/leader.cpp
@@ -0,0 +1,504 @@
+#include "coordination/leader.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rushtrestle::coordination {
+
+using store::JobStatus;
+using store::MachinePhase;
+using store::MachineRecord;
+
+namespace {
+// What the cloud charges at least for a machine, by the protocol.
+constexpr double kLeastCharge_s = 60;
+// The window in which arrivals are counted, in boot times of the slowest machine type.
+constexpr double kArrivalWindow = 3;
+}  // namespace
+
+void Leader::reset() {
+  led_since_ = ctx_.now;
+  next_types_ = next_list_ = next_plan_ = next_delete_ = 0;
+  next_share_ = ctx_.now + ctx_.operators.share_period_s;
+  rentals_.clear();
+  fresh_.clear();
+  refused_.clear();
+  idle_since_.clear();
+  offered_at_.clear();
+  deleted_.clear();
+  fetching_types_ = listing_ = deleting_ = listed_once_ = false;
+}
+
+bool Leader::cloud_ready() { return cloud_budget_.ready(ctx_.now); }
+
+void Leader::job_changed(const std::string& id) {
+  const auto& rec = model_.job(id)->record;
+  const int part = members_.part_of_team(rec.spec.team);
+  auto& a = arrivals_[{part, rec.spec.job_class}];
+  // Each job once: its first record has no attempts yet.
+  if (rec.attempts > 0 || rec.final_state() || rec.submitted < ctx_.wall - ctx_.settings.lease_s) return;
+  if (!a.times.empty() && a.last.id == id) return;
+  a.tasks_mean = a.times.empty() ? rec.spec.tasks : 0.8 * a.tasks_mean + 0.2 * rec.spec.tasks;
+  a.times.push_back(rec.submitted);
+  a.last = rec.spec;
+  constexpr size_t kMost = 256;
+  if (a.times.size() > kMost) a.times.pop_front();
+}
+
+void Leader::tick() {
+  const bool now_leading = members_.leading() && link_.synced();
+  if (now_leading != leading_) {
+    leading_ = now_leading;
+    if (leading_) reset();
+  }
+  if (!leading_ || link_.in_doubt()) return;
+  cloud_budget_.set_rate(ctx_.settings.cloud_rps * Tunables::kBudget);
+  if (!fetching_types_ && ctx_.now >= next_types_ && cloud_ready()) fetch_types();
+  if (model_.types().empty()) return;
+  if (!deleting_ && ctx_.now >= next_delete_ && cloud_ready()) delete_doomed();
+  for (size_t i = 0; i < rentals_.size(); ++i)
+    if (!rentals_[i].in_flight && ctx_.now >= rentals_[i].next_try && cloud_ready()) send_rental(i);
+  if (!listing_ && ctx_.now >= next_list_ && cloud_ready()) list("");
+  if (listed_once_ && ctx_.now >= next_plan_) {
+    next_plan_ = ctx_.now + ctx_.settings.report_s / 4;
+    plan();
+  }
+}
+
+void Leader::fetch_types() {
+  fetching_types_ = true;
+  cloud_budget_.take(1);
+  ctx_.call(GetTypes{}, ctx_.settings.lease_s / 3, [this](CallDone&& d) {
+    fetching_types_ = false;
+    auto* reply = std::get_if<TypesReply>(&d.reply);
+    if (d.status != 200 || !reply || reply->types.empty()) {
+      next_types_ = ctx_.now + ctx_.jitter(ctx_.settings.report_s / 2);
+      return;
+    }
+    next_types_ = ctx_.now + ctx_.settings.lease_s * 4;
+    prices_ = reply->types;
+    const auto shape = [](std::vector<store::MachineType> types) {
+      for (auto& t : types) t.price = t.spot_price = 0;  // prices move, shapes don't
+      return to_json(types);
+    };
+    if (shape(prices_) == shape(model_.types())) return;
+    WriteRequest w;
+    w.key = store::kTypesKey;
+    w.prepare = [this](Prepared& p) {
+      p.expected = model_.stamp_of(store::kTypesKey);
+      p.value = store::Json{{"types", to_json(prices_)}};
+      p.conditions.push_back({store::kLeaderKey, members_.lead_stamp()});
+      return members_.leading();
+    };
+    w.done = [](WriteOutcome, uint64_t) {};
+    link_.write(std::move(w));
+  });
+}
+
+// ---- what exists ----
+
+void Leader::list(std::string after) {
+  listing_ = true;
+  cloud_budget_.take(1);
+  ctx_.call(ListMachines{after}, ctx_.settings.lease_s / 3, [this](CallDone&& d) {
+    listing_ = false;
+    const auto* reply = std::get_if<ListReply>(&d.reply);
+    if (d.status != 200 || !reply) {
+      next_list_ = ctx_.now + ctx_.jitter(ctx_.settings.report_s);
+      return;
+    }
+    listed(reply->machines);
+    if (reply->more && !reply->machines.empty()) {
+      list(reply->machines.back().id);
+      return;
+    }
+    listed_once_ = true;
+    next_list_ = ctx_.now + std::max(ctx_.settings.list_lag_s, ctx_.settings.lease_s / 2);
+  });
+}
+
+void Leader::listed(const std::vector<CloudMachine>& machines) {
+  for (const auto& c : machines) {
+    const auto* known = model_.machine(c.id);
+    if (!known && !fresh_.count(c.id)) {
+      // An answer that names it may still be under way to us.
+      if (std::any_of(rentals_.begin(), rentals_.end(), [](const Rental& r) { return r.in_flight; })) continue;
+      MachineRecord r;
+      r.id = c.id;
+      r.address = "";
+      r.type = c.type;
+      r.zone = c.zone;
+      r.spot = c.spot;
+      r.since = ctx_.wall - c.age_s;
+      // To the part with the most work for its machines; plan() moves it on if need be.
+      std::map<int, double> load;
+      for (int p = 0; p < members_.parts(); ++p) load[p] = 0;
+      std::set<int> with_teams;
+      for (const auto& t : ctx_.settings.teams) {
+        const int p = members_.part_of_team(t.name);
+        with_teams.insert(p);
+        load[p] -= t.guarantee.cpus;
+      }
+      for (const auto& [mid, m] : model_.machines())
+        if (!m.record.doomed() && m.record.type == c.type) load[m.record.part] += 1e6 / 64;
+      for (const auto& [mid, m] : fresh_)
+        if (m.type == c.type) load[m.part] += 1e6 / 64;
+      r.part = *std::min_element(with_teams.begin(), with_teams.end(), [&](int a, int b) { return load[a] < load[b]; });
+      ctx_.info("machine " + c.id + " adopted for part " + std::to_string(r.part));
+      record_machine(r);
+    } else if (known && c.state == CloudMachine::State::failed && !known->record.doomed()) {
+      WriteRequest w;
+      w.key = store::machine_key(c.id);
+      w.prepare = [this, id = c.id](Prepared& p) {
+        const auto* m = model_.machine(id);
+        if (!m || m->record.doomed() || !members_.leading()) return false;
+        MachineRecord r = m->record;
+        r.phase = MachinePhase::condemned;
+        p.expected = m->stamp;
+        p.value = to_json(r);
+        p.conditions.push_back({store::kLeaderKey, members_.lead_stamp()});
+        return true;
+      };
+      w.done = [](WriteOutcome, uint64_t) {};
+      link_.write(std::move(w));
+    }
+  }
+}
+
+void Leader::record_machine(const MachineRecord& r) {
+  fresh_[r.id] = r;
+  WriteRequest w;
+  w.key = store::machine_key(r.id);
+  w.prepare = [this, id = r.id](Prepared& p) {
+    const auto it = fresh_.find(id);
+    if (it == fresh_.end() || model_.machine(id) || !members_.leading()) return false;
+    p.expected = 0;
+    p.value = to_json(it->second);
+    p.conditions.push_back({store::kLeaderKey, members_.lead_stamp()});
+    return true;
+  };
+  w.done = [this, id = r.id](WriteOutcome, uint64_t) { fresh_.erase(id); };  // if it failed, the list brings it again
+  link_.write(std::move(w));
+}
+
+// ---- what goes ----
+
+void Leader::delete_doomed() {
+  constexpr size_t kMost = 100;  // names in one request, by the protocol
+  std::vector<std::string> ids;
+  for (const auto& [id, m] : model_.machines())
+    if ((m.record.phase == MachinePhase::released || m.record.phase == MachinePhase::condemned) && !deleted_.count(id) &&
+        ids.size() < kMost)
+      ids.push_back(id);
+  if (ids.empty()) return;
+  deleting_ = true;
+  cloud_budget_.take(1);
+  ctx_.call(DeleteMachines{ids}, ctx_.settings.lease_s / 3, [this, ids](CallDone&& d) {
+    deleting_ = false;
+    if (d.status != 200) {
+      next_delete_ = ctx_.now + ctx_.jitter(ctx_.settings.report_s / 2);
+      return;
+    }
+    for (const auto& id : ids) {
+      deleted_.insert(id);
+      WriteRequest w;
+      w.key = store::machine_key(id);
+      w.prepare = [this, id](Prepared& p) {
+        const auto* m = model_.machine(id);
+        if (!m || m->record.phase == MachinePhase::gone || !m->record.doomed() || !members_.leading()) return false;
+        MachineRecord r = m->record;
+        r.phase = MachinePhase::gone;
+        p.expected = m->stamp;
+        p.value = to_json(r);
+        p.conditions.push_back({store::kLeaderKey, members_.lead_stamp()});
+        return true;
+      };
+      w.done = [this, id](WriteOutcome outcome, uint64_t) {
+        if (outcome != WriteOutcome::applied) deleted_.erase(id);
+      };
+      link_.write(std::move(w));
+    }
+  });
+}
+
+void Leader::offer(const std::string& machine, int next_part) {
+  offered_at_[machine] = ctx_.now;
+  WriteRequest w;
+  w.key = store::machine_key(machine);
+  w.priority = 1;
+  w.prepare = [this, machine, next_part](Prepared& p) {
+    const auto* m = model_.machine(machine);
+    if (!m || !m->record.usable() || !members_.leading()) return false;
+    MachineRecord r = m->record;
+    r.phase = MachinePhase::offered;
+    r.next_part = next_part;
+    p.expected = m->stamp;
+    p.value = to_json(r);
+    p.conditions.push_back({store::kLeaderKey, members_.lead_stamp()});
+    return true;
+  };
+  w.done = [](WriteOutcome, uint64_t) {};
+  link_.write(std::move(w));
+}
+
+// ---- what is needed ----
+
+bool Leader::rent_slot(const store::JobSpec& spec, const ZoneCounts& zones, int part, std::vector<Slot>& slots, bool urgent,
+                       std::vector<Want>& wants) {
+  const store::MachineType* best = nullptr;
+  Key best_key;
+  double best_cost = 0;
+  for (const auto& t : prices_.empty() ? model_.types() : prices_) {
+    if (!type_allowed(spec, t.name)) continue;
+    const int n = capacity_for(spec, t);
+    if (n <= 0) continue;
+    // Machines with GPUs are for work that takes some.
+    if (spec.per_task.gpus == 0 && t.size.gpus > 0) continue;
+    for (const auto& zone : t.zones) {
+      if (!zone_allowed(spec, zone, zones)) continue;
+      for (const bool spot : {false, true}) {
+        if (!kind_allowed(spec, spot)) continue;
+        const Key key{t.name, zone, spot};
+        const auto r = refused_.find(key);
+        if (r != refused_.end() && ctx_.now < r->second.until) continue;
+        double cost = (spot ? t.spot_price : t.price) / n;
+        int in_zone = 0;
+        for (const auto& s : slots)
+          if (*s.zone == zone && s.type->name == t.name) ++in_zone;
+        cost *= 1 + 0.001 * in_zone;  // zones take turns
+        if (!best || cost < best_cost) {
+          best = &t;
+          best_key = key;
+          best_cost = cost;
+        }
+      }
+    }
+  }
+  if (!best) return false;
+  const auto* type = model_.type(best->name);
+  if (!type) return false;
+  const auto zone = std::find(type->zones.begin(), type->zones.end(), best_key.zone);
+  if (zone == type->zones.end()) return false;
+  Slot slot{"", type, &*zone, best_key.spot, type->size, true};
+  slot.free.add(spec.per_task, -1);
+  slots.push_back(slot);
+  auto w = std::find_if(wants.begin(), wants.end(), [&](const Want& x) {
+    return x.part == part && !(x.key < best_key) && !(best_key < x.key);
+  });
+  if (w == wants.end()) w = wants.insert(wants.end(), Want{part, best_key, 0, 0});
+  (urgent ? w->urgent : w->spare)++;
+  return true;
+}
+
+void Leader::plan_part(int part, std::vector<Want>& wants, std::vector<std::string>& unused) {
+  std::vector<Slot> slots;
+  std::map<std::string, store::Resources> used;
+  std::map<std::string, store::Resources> team_used;
+  std::vector<const store::JobRecord*> jobs;
+  double cpu_per_gpu = 0;
+  for (const auto& id : model_.live_jobs()) {
+    const auto& r = model_.job(id)->record;
+    if (members_.part_of_team(r.spec.team) != part) continue;
+    for (const auto& p : r.placed) {
+      used[p.machine].add(r.spec.per_task);
+      team_used[r.spec.team].add(r.spec.per_task);
+    }
+    if (r.spec.per_task.gpus > 0) cpu_per_gpu = std::max(cpu_per_gpu, r.spec.per_task.cpus / r.spec.per_task.gpus);
+    if (r.status == JobStatus::open && r.placed.size() + r.done.size() < r.spec.tasks) jobs.push_back(&r);
+  }
+  const auto add = [&](const MachineRecord& m) {
+    const auto* type = model_.type(m.type);
+    if (!type) return;
+    Slot s{m.id, type, &m.zone, m.spot, type->size, true};
+    const auto it = used.find(m.id);
+    if (it != used.end()) {
+      s.free.add(it->second, -1);
+      s.empty = false;
+    }
+    slots.push_back(std::move(s));
+  };
+  for (const auto& [id, m] : model_.machines())
+    if (m.record.part == part && m.record.usable()) add(m.record);
+  for (const auto& [id, m] : fresh_)
+    if (m.part == part && !model_.machine(id)) add(m);
+  for (const auto& r : rentals_) {
+    if (r.part != part) continue;
+    const auto* type = model_.type(r.key.type);
+    if (!type) continue;
+    for (int i = 0; i < r.count; ++i) slots.push_back({"", type, &r.key.zone, r.key.spot, type->size, true});
+  }
+  const size_t real = slots.size();
+  std::vector<bool> was_empty(real);
+  for (size_t i = 0; i < real; ++i) was_empty[i] = slots[i].empty;
+
+  std::sort(jobs.begin(), jobs.end(), [](const auto* a, const auto* b) {
+    if (a->spec.rank != b->spec.rank) return a->spec.rank > b->spec.rank;
+    return a->submitted < b->submitted;
+  });
+  Fit fit;
+  fit.cpu_per_gpu = cpu_per_gpu;
+  const auto limit_of = [&](const std::string& team) {
+    for (const auto& t : ctx_.settings.teams)
+      if (t.name == team) return t.limit;
+    return store::Resources{};
+  };
+  const auto put = [&](const store::JobSpec& spec, ZoneCounts& zones, bool urgent) {
+    auto& team = team_used[spec.team];
+    const auto limit = limit_of(spec.team);
+    if (team.cpus + spec.per_task.cpus > limit.cpus + store::Resources::kSlack ||
+        team.gpus + spec.per_task.gpus > limit.gpus + store::Resources::kSlack)
+      return false;
+    Slot* s = pick(spec, zones, slots, fit);
+    if (!s) {
+      if (!rent_slot(spec, zones, part, slots, urgent, wants)) return false;
+      s = &slots.back();
+    } else {
+      s->free.add(spec.per_task, -1);
+    }
+    s->empty = false;
+    zones[*s->zone]++;
+    team.add(spec.per_task);
+    return true;
+  };
+  constexpr uint32_t kMostTasks = 400;  // of one job in one plan: more machines than that come in steps
+  for (const auto* r : jobs) {
+    ZoneCounts zones;
+    for (const auto& p : r->placed)
+      if (const auto* m = model_.machine(p.machine)) zones[m->record.zone]++;
+    const uint32_t need = std::min<uint32_t>(kMostTasks, r->spec.tasks - r->done.size() - static_cast<uint32_t>(r->placed.size()));
+    for (uint32_t i = 0; i < need; ++i)
+      if (!put(r->spec, zones, true)) break;
+  }
+  // Spare room: what arrives while a machine boots, by the arrivals of late, plus one deviation.
+  double boot = 0;
+  for (const auto& t : model_.types()) boot = std::max(boot, t.boot_s);
+  const double window = std::max(boot * kArrivalWindow, ctx_.settings.lease_s);
+  for (auto& [key, a] : arrivals_) {
+    if (key.first != part || a.times.empty()) continue;
+    while (!a.times.empty() && a.times.front() < ctx_.wall - window) a.times.pop_front();
+    const double expected = static_cast<double>(a.times.size()) / window * boot;
+    const int spare = a.times.empty() ? 0 : static_cast<int>(std::ceil(expected + std::sqrt(expected)));
+    store::JobSpec shape = a.last;
+    shape.tasks = static_cast<uint32_t>(std::max(1.0, std::round(a.tasks_mean)));
+    for (int i = 0; i < spare; ++i) {
+      ZoneCounts zones;
+      for (uint32_t t = 0; t < shape.tasks; ++t)
+        if (!put(shape, zones, false)) break;
+    }
+  }
+  for (size_t i = 0; i < real; ++i)
+    if (was_empty[i] && slots[i].empty && !slots[i].machine.empty() && model_.machine(slots[i].machine))
+      unused.push_back(slots[i].machine);
+}
+
+void Leader::plan() {
+  std::vector<Want> wants;
+  std::vector<std::string> unused;
+  for (int part = 0; part < members_.parts(); ++part) plan_part(part, wants, unused);
+
+  // The design's sharing: free machines go from parts that don't need them to parts that wait.
+  if (ctx_.now >= next_share_) {
+    next_share_ = ctx_.now + ctx_.operators.share_period_s;
+    // In proportion to waiting demand: whoever waits for most is served first, one machine each in turn.
+    std::sort(wants.begin(), wants.end(), [](const Want& a, const Want& b) { return a.urgent > b.urgent; });
+    bool moved = true;
+    while (moved) {
+      moved = false;
+      for (auto& w : wants) {
+        if (w.urgent + w.spare == 0) continue;
+        const auto it = std::find_if(unused.begin(), unused.end(), [&](const std::string& id) {
+          const auto& r = model_.machine(id)->record;
+          return r.part != w.part && r.type == w.key.type && r.zone == w.key.zone && r.spot == w.key.spot;
+        });
+        if (it == unused.end()) continue;
+        ctx_.info("machine " + *it + " offered to part " + std::to_string(w.part));
+        offer(*it, w.part);
+        unused.erase(it);
+        (w.urgent > 0 ? w.urgent : w.spare)--;
+        moved = true;
+      }
+    }
+  }
+  for (const bool urgent : {true, false})
+    for (const auto& w : wants) {
+      // Machines that another part does not need are shared, not rented anew.
+      int free_elsewhere = 0;
+      for (const auto& id : unused) {
+        const auto& r = model_.machine(id)->record;
+        if (r.part != w.part && r.type == w.key.type && r.zone == w.key.zone && r.spot == w.key.spot) ++free_elsewhere;
+      }
+      const int count = (urgent ? w.urgent : w.spare) - free_elsewhere;
+      if (count > 0) start_rental(w, count);
+    }
+
+  // What nobody has needed for a while is given back.
+  std::map<std::string, double> idle;
+  for (const auto& id : unused) {
+    const auto before = idle_since_.find(id);
+    idle[id] = before == idle_since_.end() ? ctx_.now : before->second;
+    const auto& r = model_.machine(id)->record;
+    const auto* type = model_.type(r.type);
+    const double hold = type ? type->boot_s / 2 : kLeastCharge_s;
+    const bool wanted = std::any_of(wants.begin(), wants.end(), [&](const Want& w) {
+      return r.type == w.key.type && r.zone == w.key.zone && r.spot == w.key.spot;
+    });
+    if (!wanted && ctx_.now - idle[id] > hold && ctx_.wall - r.since > kLeastCharge_s &&
+        ctx_.now - led_since_ > ctx_.settings.lease_s) {
+      ctx_.info("machine " + id + " is needed no more");
+      offer(id, -1);
+    }
+  }
+  idle_since_ = std::move(idle);
+}
+
+void Leader::start_rental(const Want& want, int count) {
+  constexpr int kMost = 50;  // of one request, by the protocol
+  const auto it = refused_.find(want.key);
+  if (it != refused_.end() && ctx_.now < it->second.until) return;
+  rentals_.push_back({want.key, want.part, std::min(count, kMost),
+                      std::to_string(members_.lead_stamp()) + "-" + std::to_string(++requests_), 0, false});
+}
+
+void Leader::send_rental(size_t i) {
+  Rental& r = rentals_[i];
+  r.in_flight = true;
+  cloud_budget_.take(1);
+  ctx_.call(RentMachines{r.request, r.key.type, r.key.zone, r.key.spot, r.count}, ctx_.settings.lease_s / 3,
+            [this, request = r.request](CallDone&& d) {
+              const auto rental =
+                  std::find_if(rentals_.begin(), rentals_.end(), [&](const Rental& x) { return x.request == request; });
+              if (rental == rentals_.end()) return;  // led by then by another: its list brings the machines
+              rental->in_flight = false;
+              const auto* reply = std::get_if<RentReply>(&d.reply);
+              if (d.status == 200 && reply) {
+                ctx_.info("rented " + std::to_string(reply->machines.size()) + " of " + std::to_string(rental->count) + " " +
+                          rental->key.type + " in " + rental->key.zone + (rental->key.spot ? " (spot)" : "") + " for part " +
+                          std::to_string(rental->part));
+                for (const auto& id : reply->machines) {
+                  MachineRecord m;
+                  m.id = id;
+                  m.type = rental->key.type;
+                  m.zone = rental->key.zone;
+                  m.spot = rental->key.spot;
+                  m.part = rental->part;
+                  m.since = ctx_.wall;
+                  record_machine(m);
+                }
+                if (static_cast<int>(reply->machines.size()) < rental->count) {
+                  refused_[rental->key].until = ctx_.now + ctx_.settings.lease_s;
+                } else {
+                  refused_.erase(rental->key);
+                }
+                rentals_.erase(rental);
+              } else if (d.status == 0 || d.status == 429) {
+                rental->next_try = ctx_.now + ctx_.jitter(ctx_.settings.report_s / 2);  // same request: at most once
+              } else {
+                auto& refused = refused_[rental->key];
+                refused.pause = std::clamp(refused.pause * 1.5, ctx_.settings.lease_s / 2, ctx_.settings.lease_s * 2);
+                refused.until = ctx_.now + ctx_.jitter(refused.pause);
+                rentals_.erase(rental);
+              }
+            });
+}
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/leader.h
@@ -0,0 +1,84 @@
+// The leader: rents and returns machines, deals them among the parts.
+#pragma once
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/membership.h"
+#include "coordination/placement.h"
+
+namespace rushtrestle::coordination {
+
+class Leader {
+ public:
+  Leader(Context& ctx, store::Model& model, StateLink& link, Membership& members, ImageCaches& images)
+      : ctx_(ctx), model_(model), link_(link), members_(members), images_(images) {}
+
+  void tick();
+  void job_changed(const std::string& id);
+
+ private:
+  struct Key {  // one kind of thing to rent
+    std::string type, zone;
+    bool spot;
+    bool operator<(const Key& o) const { return std::tie(type, zone, spot) < std::tie(o.type, o.zone, o.spot); }
+  };
+  struct Rental {
+    Key key;
+    int part, count;
+    std::string request;
+    double next_try = 0;
+    bool in_flight = false;
+  };
+  struct Refused {
+    double until = 0, pause = 0;
+  };
+  struct Arrivals {
+    std::deque<double> times;  // of day
+    store::JobSpec last;
+    double tasks_mean = 1;
+  };
+  struct Want {
+    int part;
+    Key key;
+    int urgent = 0, spare = 0;
+  };
+
+  void reset();
+  void fetch_types();
+  void list(std::string after);
+  void listed(const std::vector<CloudMachine>& machines);
+  void delete_doomed();
+  void plan();
+  void plan_part(int part, std::vector<Want>& wants, std::vector<std::string>& unused);
+  bool rent_slot(const store::JobSpec& spec, const ZoneCounts& zones, int part, std::vector<Slot>& slots, bool urgent,
+                 std::vector<Want>& wants);
+  void start_rental(const Want& want, int count);
+  void send_rental(size_t i);
+  void record_machine(const store::MachineRecord& r);
+  void offer(const std::string& machine, int next_part);
+  bool cloud_ready();
+
+  Context& ctx_;
+  store::Model& model_;
+  StateLink& link_;
+  Membership& members_;
+  ImageCaches& images_;
+  bool leading_ = false;
+  double led_since_ = 0, next_types_ = 0, next_list_ = 0, next_plan_ = 0, next_delete_ = 0, next_share_ = 0;
+  bool fetching_types_ = false, listing_ = false, deleting_ = false, listed_once_ = false;
+  TokenBucket cloud_budget_;
+  uint64_t requests_ = 0;
+  std::vector<store::MachineType> prices_;
+  std::vector<Rental> rentals_;
+  std::map<std::string, store::MachineRecord> fresh_;  // rented, record not durable yet
+  std::map<Key, Refused> refused_;
+  std::map<std::string, double> idle_since_;
+  std::map<std::string, double> offered_at_;
+  std::set<std::string> deleted_;
+  std::map<std::pair<int, std::string>, Arrivals> arrivals_;
+};
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/membership.cpp
@@ -0,0 +1,197 @@
+#include "coordination/membership.h"
+
+#include <algorithm>
+
+namespace rushtrestle::coordination {
+
+using store::kLeaderKey;
+using store::part_key;
+
+Membership::Membership(Context& ctx, store::Model& model, StateLink& link) : ctx_(ctx), model_(model), link_(link) {
+  nodes_.push_back(ctx_.settings.node);
+  for (const auto& p : ctx_.settings.peers) {
+    peers_.push_back({p, {}, -1e9, 0, 0, false});
+    nodes_.push_back(p.node);
+  }
+  std::sort(nodes_.begin(), nodes_.end());
+  for (const auto& t : ctx_.settings.teams) teams_.push_back(t.name);
+  std::sort(teams_.begin(), teams_.end());
+}
+
+int Membership::part_of_team(const std::string& team) const {
+  const auto it = std::lower_bound(teams_.begin(), teams_.end(), team);
+  if (it == teams_.end() || *it != team) return -1;
+  return static_cast<int>(it - teams_.begin()) % parts();
+}
+
+const Membership::Peer* Membership::peer(const std::string& node) const {
+  for (const auto& p : peers_)
+    if (p.settings.node == node) return &p;
+  return nullptr;
+}
+
+uint64_t Membership::held(int part) const {
+  const auto it = held_.find(part);
+  return it != held_.end() && model_.revision() >= it->second ? it->second : 0;
+}
+
+std::string Membership::holder_of(int part) const {
+  const auto* h = model_.holder(part_key(part));
+  return h && h->present ? h->record.node : "";
+}
+
+int Membership::live_nodes() const {
+  return 1 + static_cast<int>(std::count_if(peers_.begin(), peers_.end(), [&](const Peer& p) { return fresh(p); }));
+}
+
+bool Membership::peer_hears(const std::string& machine) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const Peer& p) {
+    return fresh(p) && std::find(p.state.heard.begin(), p.state.heard.end(), machine) != p.state.heard.end();
+  });
+}
+
+bool Membership::outage_shared() const {
+  return !peers_.empty() &&
+         std::all_of(peers_.begin(), peers_.end(), [&](const Peer& p) { return fresh(p) && !p.state.has_state; });
+}
+
+bool Membership::may_answer_workers() const {
+  if (link_.lease_valid()) return true;
+  // Without a lease the keys may have gone to others. A peer that has the state
+  // service tells that we are the ones cut off: yield. If all lack it, it is an
+  // outage, and leases stand still. With no word from all, the time is bound by
+  // what a cancellation acknowledged elsewhere leaves.
+  for (const auto& p : peers_)
+    if (fresh(p) && p.state.has_state) return false;
+  if (outage_shared()) return true;
+  return ctx_.now - link_.last_contact() < ctx_.tune.blind_limit_s;
+}
+
+void Membership::heard(const PeerState& state) {
+  for (auto& p : peers_) {
+    if (p.settings.node != state.node) continue;
+    const bool steady = fresh(p) && p.state.incarnation == state.incarnation && p.state.has_state && p.state.synced &&
+                        state.has_state && state.synced;
+    if (!steady) p.steady_since = ctx_.now;
+    p.state = state;
+    p.heard_at = ctx_.now;
+  }
+}
+
+void Membership::tell(Peer& p) {
+  p.telling = true;
+  p.next_tell = ctx_.now + ctx_.jitter(ctx_.tune.peer_every_s);
+  ctx_.call(TellPeer{p.settings.address, own_state()}, ctx_.tune.peer_every_s, [this, &p](CallDone&& d) {
+    p.telling = false;
+    if (const auto* state = std::get_if<PeerState>(&d.reply); d.status == 200 && state) heard(*state);
+  });
+}
+
+void Membership::tick() {
+  for (auto& p : peers_)
+    if (!p.telling && ctx_.now >= p.next_tell) tell(p);
+  // The budget follows the work: a node with a backlog takes what idle peers leave.
+  const auto weight = [](double backlog) { return 1 + std::min(backlog, 20.0); };
+  double total = weight(link_.backlog());
+  for (const auto& p : peers_)
+    if (fresh(p)) total += weight(p.state.backlog);
+  link_.set_weight(weight(link_.backlog()) / total);
+
+  if (!link_.synced() || !link_.lease_valid()) return;
+  for (int part = 0; part < parts(); ++part) consider(part_key(part), part);
+  consider(kLeaderKey, 0);
+  for (const auto& [part, stamp] : std::map<int, uint64_t>(held_)) hand_back(part);
+}
+
+void Membership::consider(const std::string& key, int home) {
+  const auto* h = model_.holder(key);
+  if (h && h->present) {
+    absent_since_.erase(key);
+    // Our own earlier incarnation is dead, whatever its lease says.
+    if (h->record.node == ctx_.settings.node && h->record.incarnation != ctx_.incarnation) claim(key, h->stamp);
+    return;
+  }
+  const auto [it, fresh_absence] = absent_since_.emplace(key, ctx_.now);
+  const int n = parts();
+  const int me = static_cast<int>(std::find(nodes_.begin(), nodes_.end(), ctx_.settings.node) - nodes_.begin());
+  const int distance = (me - home % n + n) % n;
+  // Home first; the others step in one after the other, later if home seems to be alive.
+  double wait = ctx_.tune.renew_every_s / 2 * distance;
+  if (distance > 0) {
+    const Peer* home_peer = peer(nodes_[static_cast<size_t>(home % n)]);
+    if (home_peer && fresh(*home_peer) && home_peer->state.has_state) wait += ctx_.tune.state_lease_s / 2;
+  }
+  if (ctx_.now - it->second >= wait) claim(key, 0);
+}
+
+void Membership::claim(const std::string& key, uint64_t expected) {
+  if (claiming_[key]) return;
+  claiming_[key] = true;
+  WriteRequest w;
+  w.key = key;
+  w.prepare = [this, key, expected](Prepared& p) {
+    if (model_.stamp_of(key) != expected) return false;
+    p.expected = expected;
+    p.value = to_json(store::HolderRecord{ctx_.settings.node, ctx_.incarnation});
+    p.lease = link_.lease();
+    return true;
+  };
+  // Who holds the key is read off the model (holder_changed).
+  w.done = [this, key](WriteOutcome, uint64_t) { claiming_[key] = false; };
+  link_.write(std::move(w));
+}
+
+void Membership::holder_changed(const std::string& key) {
+  const auto* h = model_.holder(key);
+  const bool mine = h && h->present && h->record.node == ctx_.settings.node && h->record.incarnation == ctx_.incarnation;
+  if (key == kLeaderKey) {
+    if (mine != (lead_stamp_ != 0)) ctx_.info(mine ? "leading from now on" : "leading no more");
+    lead_stamp_ = mine ? h->stamp : 0;
+    return;
+  }
+  const int part = std::stoi(key.substr(5));
+  const auto it = held_.find(part);
+  if (mine && (it == held_.end() || it->second != h->stamp)) {
+    if (it != held_.end()) on_lost(part);
+    held_[part] = h->stamp;
+    ctx_.info("holding part " + std::to_string(part) + " at " + std::to_string(h->stamp));
+    on_gained(part);
+  } else if (!mine && it != held_.end()) {
+    held_.erase(it);
+    ctx_.info("part " + std::to_string(part) + " is held no more");
+    on_lost(part);
+  }
+}
+
+void Membership::lease_lost() {
+  lead_stamp_ = 0;
+  const auto lost = std::move(held_);
+  held_.clear();
+  for (const auto& [part, stamp] : lost) on_lost(part);
+}
+
+void Membership::hand_back(int part) {
+  const std::string& home = nodes_[static_cast<size_t>(part % parts())];
+  if (home == ctx_.settings.node) return;
+  const Peer* p = peer(home);
+  if (!p || !fresh(*p) || !p->state.has_state || !p->state.synced || ctx_.now - p->steady_since < ctx_.tune.home_steady_s)
+    return;
+  const std::string key = part_key(part);
+  if (claiming_[key]) return;
+  claiming_[key] = true;
+  ctx_.info("handing part " + std::to_string(part) + " back to " + home);
+  WriteRequest w;
+  w.key = key;
+  w.prepare = [this, part](Prepared& prepared) {
+    prepared.expected = held(part);
+    return prepared.expected != 0;
+  };
+  w.done = [this, key, part](WriteOutcome outcome, uint64_t) {
+    claiming_[key] = false;
+    (void)part;
+    (void)outcome;
+  };
+  link_.write(std::move(w));
+}
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/membership.h
@@ -0,0 +1,65 @@
+// Who is alive, who holds which part, who leads; all proven by leased keys.
+#pragma once
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coordination/state_link.h"
+
+namespace rushtrestle::coordination {
+
+class Membership {
+ public:
+  Membership(Context& ctx, store::Model& model, StateLink& link);
+
+  void tick();
+  void heard(const PeerState& state);
+  void holder_changed(const std::string& key);
+  void lease_lost();
+
+  int parts() const { return ctx_.settings.nodes; }
+  int part_of_team(const std::string& team) const;  // -1: unknown team
+  /// Stamp of the part's key if this node holds it and its model covers that; 0 otherwise.
+  uint64_t held(int part) const;
+  bool leading() const { return lead_stamp_ != 0 && link_.lease_valid() && model_.revision() >= lead_stamp_; }
+  uint64_t lead_stamp() const { return lead_stamp_; }
+  /// May this node still answer workers of the parts it holds?
+  bool may_answer_workers() const;
+  /// Node that holds the part according to the model; empty: none known.
+  std::string holder_of(int part) const;
+  bool peer_hears(const std::string& machine) const;
+  int live_nodes() const;
+  bool outage_shared() const;
+
+  std::function<PeerState()> own_state;
+  std::function<void(int part)> on_gained, on_lost;
+
+ private:
+  struct Peer {
+    store::PeerSettings settings;
+    PeerState state;
+    double heard_at = -1e9, steady_since = 0;
+    double next_tell = 0;
+    bool telling = false;
+  };
+  bool fresh(const Peer& p) const { return ctx_.now - p.heard_at < ctx_.tune.peer_fresh_s; }
+  const Peer* peer(const std::string& node) const;
+  void tell(Peer& p);
+  void claim(const std::string& key, uint64_t expected);
+  void consider(const std::string& key, int home);
+  void hand_back(int part);
+
+  Context& ctx_;
+  store::Model& model_;
+  StateLink& link_;
+  std::vector<Peer> peers_;
+  std::vector<std::string> nodes_;  // sorted by name: the i-th is home of part i
+  std::vector<std::string> teams_;  // sorted by name
+  std::map<std::string, double> absent_since_;
+  std::map<std::string, bool> claiming_;
+  std::map<int, uint64_t> held_;  // part -> stamp of its key
+  uint64_t lead_stamp_ = 0;
+};
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/messages.h
@@ -0,0 +1,225 @@
+// What goes into the core (commands) and what comes out (effects), in plain types.
+// The wire's words are known to protocol alone.
+#pragma once
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "store/model.h"
+
+namespace rushtrestle::coordination {
+
+using RequestId = uint64_t;  // of a request that waits for our answer
+using CallId = uint64_t;     // of a request that we sent
+
+enum class TaskState { fetching, running, saving, exited };
+enum class ExitCause { none, done, stopped, error, no_room, busy, unknown };
+
+struct ReportedTask {
+  std::string job;
+  uint32_t task = 0;
+  uint64_t attempt = 0;
+  TaskState state = TaskState::fetching;
+  ExitCause cause = ExitCause::none;
+  bool saved = false;
+};
+
+struct WorkerReport {
+  std::string machine, address, type, zone;
+  bool spot = false;
+  uint64_t session = 0, seq = 0, token = 0;
+  std::optional<double> notice_s;
+  std::vector<ReportedTask> tasks;
+};
+
+enum class WorkerVerb { start, stop, forget };
+struct WorkerCommand {
+  WorkerVerb verb = WorkerVerb::start;
+  std::string job;
+  uint32_t task = 0;
+  uint64_t attempt = 0;
+  double grace_s = 0;
+};
+
+struct CloudMachine {
+  std::string id, address, type, zone;
+  bool spot = false;
+  enum class State { booting, running, failed } state = State::booting;
+  double age_s = 0;
+};
+
+/// What controllers tell each other, about once a second.
+struct PeerState {
+  std::string node, incarnation;
+  bool has_state = false;  // its lease at the state service is in force
+  bool synced = false;
+  double backlog = 0;      // records waiting to be written
+  std::vector<int> parts;
+  std::vector<std::string> heard;  // machines heard from lately
+};
+
+// ---- commands ----
+struct SubmitJob {
+  RequestId request;
+  store::JobSpec spec;
+};
+struct QueryJob {
+  RequestId request;
+  std::string id;
+};
+struct CancelJob {
+  RequestId request;
+  std::string id;
+};
+struct CheckHealth {
+  RequestId request;
+};
+struct ShowStats {
+  RequestId request;
+};
+struct TakeReport {
+  RequestId request;
+  WorkerReport report;
+};
+struct TakePeerState {
+  RequestId request;
+  PeerState state;
+};
+struct Tick {};
+
+struct TxnReply {
+  uint64_t revision = 0;
+  std::vector<std::string> failed;
+};
+struct KeyReply {
+  std::optional<store::Change> entry;
+  uint64_t revision = 0;
+};
+struct PageReply {
+  std::vector<store::Change> entries;
+  bool more = false;
+  uint64_t revision = 0;
+};
+struct LeaseReply {
+  uint64_t lease = 0;
+};
+struct WatchReply {
+  uint64_t revision = 0;
+  std::vector<store::Change> events;
+};
+struct TypesReply {
+  std::vector<store::MachineType> types;
+};
+struct RentReply {
+  std::vector<std::string> machines;
+};
+struct ListReply {
+  std::vector<CloudMachine> machines;
+  bool more = false;
+};
+using Reply = std::variant<std::monostate, TxnReply, KeyReply, PageReply, LeaseReply, WatchReply, TypesReply, RentReply,
+                           ListReply, WorkerReport, PeerState>;
+
+/// status 0: no answer, outcome unknown. A 2xx whose body can't be read counts as 0 too.
+struct CallDone {
+  CallId call;
+  int status = 0;
+  Reply reply;
+};
+
+using Command = std::variant<SubmitJob, QueryJob, CancelJob, CheckHealth, ShowStats, TakeReport, TakePeerState, CallDone, Tick>;
+
+// ---- effects ----
+struct JobView {
+  std::string id;
+  store::JobStatus status = store::JobStatus::open;
+  uint32_t done = 0, running = 0;
+};
+struct AnswerUser {
+  RequestId request;
+  int status = 503;
+  std::optional<JobView> job;
+  double retry_after_s = 0;  // sent with 429 and 503
+};
+struct AnswerReport {
+  RequestId request;
+  int status = 503;
+  uint64_t token = 0;
+  std::vector<WorkerCommand> commands;
+  std::string redirect;  // with 421: node to go to, may be empty
+};
+struct AnswerPeer {
+  RequestId request;
+  PeerState state;
+};
+struct AnswerStats {
+  RequestId request;
+  store::Json body;
+};
+
+struct Condition {
+  std::string key;
+  uint64_t stamp = 0;
+};
+struct Write {
+  std::string key;
+  std::optional<store::Json> value;  // none: delete
+  uint64_t lease = 0;
+};
+struct Txn {
+  std::vector<Condition> conditions;
+  std::vector<Write> writes;
+};
+struct ReadKey {
+  std::string key;
+};
+struct ReadPage {
+  std::string prefix, after;
+};
+struct GrantLease {
+  double ttl_s;
+};
+struct ExtendLease {
+  uint64_t lease;
+};
+struct Watch {
+  uint64_t since;
+  double hold_s;
+};
+struct GetTypes {};
+struct RentMachines {
+  std::string request, type, zone;
+  bool spot;
+  int count;
+};
+struct DeleteMachines {
+  std::vector<std::string> machines;
+};
+struct ListMachines {
+  std::string after;
+};
+struct CommandWorker {
+  std::string address;
+  uint64_t token = 0, session = 0;
+  std::vector<WorkerCommand> commands;
+};
+struct TellPeer {
+  std::string address;
+  PeerState state;
+};
+using CallBody = std::variant<Txn, ReadKey, ReadPage, GrantLease, ExtendLease, Watch, GetTypes, RentMachines, DeleteMachines,
+                              ListMachines, CommandWorker, TellPeer>;
+struct Call {
+  CallId id;
+  double timeout_s;
+  CallBody body;
+};
+struct LogLine {
+  enum class Level { error, info, debug } level;
+  std::string text;
+};
+
+using Effect = std::variant<AnswerUser, AnswerReport, AnswerPeer, AnswerStats, Call, LogLine>;
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/owner.cpp
@@ -0,0 +1,853 @@
+#include "coordination/owner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rushtrestle::coordination {
+
+using store::JobKind;
+using store::JobRecord;
+using store::JobStatus;
+using store::MachinePhase;
+using store::MachineRecord;
+using store::Placement;
+
+Owner::Owner(Context& ctx, store::Model& model, StateLink& link, Membership& members, ImageCaches& images)
+    : ctx_(ctx), model_(model), link_(link), members_(members), images_(images) {}
+
+Owner::OwnedJob* Owner::job(const std::string& id) {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+Owner::Machine* Owner::machine(const std::string& id) {
+  const auto it = machines_.find(id);
+  return it == machines_.end() ? nullptr : &it->second;
+}
+
+uint64_t Owner::token(const Machine& m) const {
+  return std::max(members_.held(m.part), model_.stamp_of(store::machine_key(m.id)));
+}
+
+int Owner::machine_part(const std::string& id) const {
+  const auto* m = model_.machine(id);
+  return m ? m->record.part : -1;
+}
+
+// ---- parts come and go ----
+
+void Owner::gained(int part) {
+  parts_.insert(part);
+  for (const auto& [id, m] : model_.machines())
+    if (m.record.part == part) machine_changed(id);
+  for (const auto& id : model_.live_jobs()) job_changed(id);
+  want_schedule_ = true;
+}
+
+void Owner::lost(int part) {
+  parts_.erase(part);
+  std::vector<std::string> gone;
+  for (const auto& [id, j] : jobs_)
+    if (j.part == part) gone.push_back(id);
+  for (const auto& id : gone) drop_job(id);
+  for (auto it = machines_.begin(); it != machines_.end();)
+    it = it->second.part == part ? machines_.erase(it) : std::next(it);
+}
+
+void Owner::index(const JobRecord& r, const Placement& p, double sign) {
+  if (sign > 0 && r.spec.image_gb >= 0) {
+    const auto* m = model_.machine(p.machine);
+    const auto* type = m ? model_.type(m->record.type) : nullptr;
+    images_.used(p.machine, r.spec.image, r.spec.image_gb, type ? type->cache_gb : 0);
+  }
+  team_used_[r.spec.team].add(r.spec.per_task, sign);
+  if (Machine* m = machine(p.machine)) {
+    m->used.add(r.spec.per_task, sign);
+    if (sign > 0) {
+      m->placed[{r.spec.id, p.task}] = p.attempt;
+    } else {
+      m->placed.erase({r.spec.id, p.task});
+    }
+    touched_.insert(m->id);
+  }
+}
+
+void Owner::adopt_job(const std::string& id, const JobRecord& record) {
+  OwnedJob& j = jobs_[id];
+  j.cur = record;
+  j.part = members_.part_of_team(record.spec.team);
+  for (const auto& p : j.cur.placed) index(j.cur, p, 1);
+  want_schedule_ = true;
+}
+
+void Owner::drop_job(const std::string& id) {
+  OwnedJob* j = job(id);
+  if (!j) return;
+  for (const auto& p : j->cur.placed) index(j->cur, p, -1);
+  jobs_.erase(id);
+}
+
+void Owner::rebase(const std::string& id) {
+  OwnedJob* j = job(id);
+  const auto* durable = model_.job(id);
+  if (!j || !durable) return;
+  for (const auto& p : j->cur.placed) index(j->cur, p, -1);
+  j->cur = durable->record;
+  j->dirty = false;
+  for (const auto& p : j->cur.placed) index(j->cur, p, 1);
+  want_schedule_ = true;
+}
+
+void Owner::job_changed(const std::string& id) {
+  const auto* durable = model_.job(id);
+  const int part = members_.part_of_team(durable->record.spec.team);
+  for (const auto& p : durable->record.placed) {
+    const auto* m = model_.machine(p.machine);
+    const auto* type = m ? model_.type(m->record.type) : nullptr;
+    if (type) images_.used(p.machine, durable->record.spec.image, durable->record.spec.image_gb, type->cache_gb);
+  }
+  if (!parts_.count(part)) return;
+  OwnedJob* j = job(id);
+  const bool over = durable->record.final_state() && durable->record.placed.empty();
+  if (!j) {
+    if (!over) adopt_job(id, durable->record);
+    return;
+  }
+  // Only the owner writes the rest of the record; others may cancel the job.
+  if (durable->record.status == JobStatus::cancelled && j->cur.status == JobStatus::open) {
+    j->cur.status = JobStatus::cancelled;
+    std::vector<uint32_t> unsent;
+    for (const auto& p : j->cur.placed) {
+      const auto* d = durable->record.placement_of(p.task);
+      if (!d || d->attempt != p.attempt) unsent.push_back(p.task);
+      touched_.insert(p.machine);
+    }
+    for (const uint32_t t : unsent) unplace(*j, t);
+  }
+  if (over && j->cur.placed.empty()) drop_job(id);
+  want_schedule_ = true;
+}
+
+void Owner::machine_changed(const std::string& id) {
+  const auto* durable = model_.machine(id);
+  Machine* m = machine(id);
+  if (durable->record.phase == MachinePhase::gone) {
+    machine_gone(id);
+    return;
+  }
+  if (!parts_.count(durable->record.part)) {
+    if (m) machines_.erase(id);
+    return;
+  }
+  if (!m) {
+    m = &machines_[id];
+    m->id = id;
+    m->part = durable->record.part;
+    m->since = m->last_news = ctx_.now;
+    for (auto& [job_id, j] : jobs_)
+      for (const auto& p : j.cur.placed)
+        if (p.machine == id) {
+          m->placed[{job_id, p.task}] = p.attempt;
+          m->used.add(j.cur.spec.per_task, 1);
+        }
+    m->wanted = true;
+  }
+  m->part = durable->record.part;
+  touched_.insert(id);
+  want_schedule_ = true;
+}
+
+void Owner::machine_gone(const std::string& id) {
+  std::vector<TaskKey> tasks;
+  for (const auto& [job_id, j] : jobs_)
+    for (const auto& p : j.cur.placed)
+      if (p.machine == id) tasks.emplace_back(job_id, p.task);
+  for (const auto& [job_id, task] : tasks) {
+    unplace(*job(job_id), task);
+    mark(job_id, 0);
+  }
+  machines_.erase(id);
+  images_.forget(id);
+  want_schedule_ = true;
+}
+
+// ---- placements and their records ----
+
+void Owner::place(OwnedJob& j, uint32_t task, const std::string& machine_id) {
+  j.cur.placed.push_back(Placement{task, machine_id, ++j.cur.attempts, false, false});
+  index(j.cur, j.cur.placed.back(), 1);
+}
+
+void Owner::unplace(OwnedJob& j, uint32_t task) {
+  auto& placed = j.cur.placed;
+  const auto it = std::find_if(placed.begin(), placed.end(), [&](const Placement& p) { return p.task == task; });
+  if (it == placed.end()) return;
+  index(j.cur, *it, -1);
+  placed.erase(it);
+  want_schedule_ = true;
+}
+
+void Owner::mark(const std::string& id, int priority) {
+  OwnedJob* j = job(id);
+  if (!j) return;
+  j->dirty = true;
+  if (j->queued_priority <= priority) return;
+  j->queued_priority = priority;
+  WriteRequest w;
+  w.key = store::job_key(id);
+  w.priority = priority;
+  w.prepare = [this, id](Prepared& p) {
+    OwnedJob* owned = job(id);
+    const auto* durable = model_.job(id);
+    const uint64_t held = owned ? members_.held(owned->part) : 0;
+    if (!owned) return false;
+    owned->queued_priority = 99;
+    if (!owned->dirty || !durable || held == 0) return false;
+    owned->dirty = false;
+    p.expected = durable->stamp;
+    p.value = to_json(owned->cur);
+    p.conditions.push_back({store::part_key(owned->part), held});
+    // A new placement holds only if its machine was not offered or condemned meanwhile.
+    for (const auto& placed : owned->cur.placed) {
+      const auto* old = durable->record.placement_of(placed.task);
+      if (!old || old->attempt != placed.attempt)
+        p.conditions.push_back({store::machine_key(placed.machine), model_.stamp_of(store::machine_key(placed.machine))});
+    }
+    return true;
+  };
+  w.done = [this, id](WriteOutcome outcome, uint64_t) {
+    OwnedJob* owned = job(id);
+    if (!owned) return;
+    if (outcome == WriteOutcome::applied) {
+      for (const auto& p : owned->cur.placed) touched_.insert(p.machine);
+      // Ended tasks may be forgotten now.
+      for (auto& [mid, m] : machines_)
+        if (std::any_of(m.reported.begin(), m.reported.end(), [&](const ReportedTask& t) { return t.job == id; }))
+          touched_.insert(mid);
+      if (owned->cur.final_state() && owned->cur.placed.empty() && !owned->dirty) drop_job(id);
+    } else if (outcome != WriteOutcome::skipped) {
+      if (outcome == WriteOutcome::refused) owned->retry_at = ctx_.now + ctx_.settings.lease_s;
+      rebase(id);
+      for (auto& [mid, m] : machines_)
+        if (std::any_of(m.reported.begin(), m.reported.end(), [&](const ReportedTask& t) { return t.job == id; }))
+          touched_.insert(mid);
+    }
+  };
+  link_.write(std::move(w));
+}
+
+void Owner::write_machine(const std::string& id, int priority, std::function<bool(MachineRecord&)> change) {
+  Machine* m = machine(id);
+  if (!m || m->writing) return;
+  m->writing = true;
+  WriteRequest w;
+  w.key = store::machine_key(id);
+  w.priority = priority;
+  w.prepare = [this, id, change = std::move(change)](Prepared& p) {
+    const Machine* mine = machine(id);
+    const auto* durable = model_.machine(id);
+    if (!mine || !durable || durable->record.doomed()) return false;
+    const uint64_t held = members_.held(durable->record.part);
+    MachineRecord r = durable->record;
+    if (held == 0 || !change(r)) return false;
+    p.expected = durable->stamp;
+    p.value = to_json(r);
+    p.conditions.push_back({store::part_key(durable->record.part), held});
+    return true;
+  };
+  w.done = [this, id](WriteOutcome, uint64_t) {
+    if (Machine* mine = machine(id)) {
+      mine->writing = false;
+      mine->condemning = false;
+      touched_.insert(id);
+    }
+  };
+  link_.write(std::move(w));
+}
+
+// ---- workers ----
+
+void Owner::take_report(RequestId request, WorkerReport&& report) {
+  ctx_.counters["reports"]++;
+  const auto answer = [&](int status, std::string redirect = "") {
+    ctx_.out.push_back(AnswerReport{request, status, 0, {}, std::move(redirect)});
+  };
+  const auto* record = model_.machine(report.machine);
+  heard_[report.machine] = ctx_.now;
+  if (!record || record->record.doomed()) return answer(503);
+  const int part = record->record.part;
+  Machine* m = machine(report.machine);
+  if (!m || members_.held(part) == 0) {
+    const std::string holder = members_.holder_of(part);
+    if (holder.empty() || holder == ctx_.settings.node) return answer(503);
+    return answer(421, holder);
+  }
+  // A higher token than ours: somebody else is entitled, we just have not heard yet.
+  if (report.token > token(*m) || !members_.may_answer_workers()) return answer(503);
+  std::vector<WorkerCommand> commands;
+  if (process(*m, report)) {
+    bool has_start = false;
+    if (!m->in_flight) commands = reconcile(*m, has_start);
+    // Starts go directly only: one in an answer could arrive after a direct stop.
+    if (has_start) {
+      commands.clear();
+      touched_.insert(m->id);
+    }
+  }
+  ctx_.out.push_back(AnswerReport{request, 200, token(*m), std::move(commands), ""});
+}
+
+bool Owner::process(Machine& m, const WorkerReport& report) {
+  if (std::make_pair(report.session, report.seq) <= std::make_pair(m.session, m.seq)) return false;
+  // A newer session: whatever ran is gone, and late commands of the old one are dropped.
+  if (report.session > m.session) m.uncertain = 0;
+  if (m.uncertain != 0 && report.token > m.uncertain) m.uncertain = 0;
+  if (!m.known) want_schedule_ = true;
+  m.known = true;
+  m.session = report.session;
+  m.seq = report.seq;
+  m.token_seen = std::max(m.token_seen, report.token);
+  m.reported = report.tasks;
+  m.last_news = ctx_.now;
+  if (report.notice_s && !m.notice_s) {
+    // What can save goes elsewhere in time; the rest runs on as long as it may.
+    std::set<std::string> changed;
+    for (const auto& [key, attempt] : m.placed) {
+      OwnedJob* j = job(key.first);
+      if (!j || j->cur.spec.checkpoint_s <= 0 || *report.notice_s < j->cur.spec.save_s) continue;
+      for (auto& p : j->cur.placed)
+        if (p.task == key.second) p.stopping = true;
+      changed.insert(key.first);
+    }
+    for (const auto& id : changed) mark(id, 0);
+  }
+  m.notice_s = report.notice_s;
+  const auto* record = model_.machine(m.id);
+  if (record && record->record.address != report.address) {
+    write_machine(m.id, 0, [address = report.address](MachineRecord& r) {
+      if (r.address == address) return false;
+      r.address = address;
+      return true;
+    });
+  }
+  return true;
+}
+
+void Owner::task_ended(Machine& m, OwnedJob& j, const ReportedTask& t) {
+  constexpr int kFree = 3;
+  const std::string id = j.cur.spec.id;
+  unplace(j, t.task);
+  switch (t.cause) {
+    case ExitCause::done:
+      if (j.cur.spec.kind == JobKind::array) j.cur.done.insert(t.task);
+      m.failed_jobs.clear();
+      break;
+    case ExitCause::error:
+      ctx_.counters["task_errors"]++;
+      m.failed_jobs.insert(id);
+      if (!m.quarantined && static_cast<int>(m.failed_jobs.size()) >= Tunables::kFaultyJobs) {
+        m.quarantined = true;
+        ctx_.info("machine " + m.id + " quarantined: tasks of different jobs fail on it");
+      }
+      j.avoid.insert(m.id);
+      ++j.failures;
+      // The first failures may be the machines'; a job that fails everywhere waits longer and longer.
+      if (j.failures > kFree) {
+        j.retry_at = ctx_.now + ctx_.jitter(ctx_.settings.report_s * std::pow(2.0, std::min(j.failures - kFree, 5)));
+        j.avoid.clear();
+      }
+      break;
+    case ExitCause::no_room:
+    case ExitCause::busy:
+    case ExitCause::unknown:
+      ctx_.info("start refused: " + id + "/" + std::to_string(t.task) + " on " + m.id + " cause " +
+                std::to_string(static_cast<int>(t.cause)));
+      j.retry_at = ctx_.now + ctx_.settings.report_s / 2;
+      break;
+    case ExitCause::stopped:
+    case ExitCause::none: break;
+  }
+  if (j.cur.status == JobStatus::open && j.cur.spec.kind == JobKind::array && j.cur.done.size() == j.cur.spec.tasks)
+    j.cur.status = JobStatus::done;
+  mark(id, 1);
+}
+
+std::vector<WorkerCommand> Owner::reconcile(Machine& m, bool& has_start) {
+  std::vector<WorkerCommand> commands;
+  has_start = false;
+  if (!m.known) return commands;
+  std::set<TaskKey> present;
+  const bool may_change = can_act();
+  for (const auto& t : m.reported) {
+    const TaskKey key{t.job, t.task};
+    const auto placed = m.placed.find(key);
+    OwnedJob* j = job(t.job);
+    if (j && placed != m.placed.end() && placed->second == t.attempt) {
+      present.insert(key);
+      if (t.state == TaskState::exited) {
+        task_ended(m, *j, t);
+        continue;
+      }
+      for (auto& p : j->cur.placed) {
+        if (p.task != t.task) continue;
+        if (t.state == TaskState::running && !p.running) {
+          p.running = true;
+          j->cur.last_start = ctx_.wall;
+          mark(t.job, 2);
+        }
+        const auto* durable = model_.job(t.job);
+        const auto* d = durable ? durable->record.placement_of(t.task) : nullptr;
+        const bool cancelled = j->cur.status == JobStatus::cancelled;
+        if (cancelled) {
+          commands.push_back({WorkerVerb::stop, t.job, t.task, t.attempt, 0});
+        } else if (p.stopping && d && d->stopping && t.state != TaskState::saving) {
+          // Only once the commit is durable.
+          commands.push_back({WorkerVerb::stop, t.job, t.task, t.attempt, j->cur.spec.save_s});
+        }
+      }
+      continue;
+    }
+    // Not placed here (any more). While the record still says so, leave it alone.
+    const auto* durable = model_.job(t.job);
+    const auto* d = durable ? durable->record.placement_of(t.task) : nullptr;
+    if (d && d->machine == m.id && d->attempt == t.attempt) continue;
+    if (t.state != TaskState::exited) {
+      commands.push_back({WorkerVerb::stop, t.job, t.task, t.attempt, 0});
+    } else if (m.uncertain == 0 && m.token_seen >= token(m)) {
+      // A start of this attempt that may still arrive would run it again after this.
+      commands.push_back({WorkerVerb::forget, t.job, t.task, t.attempt, 0});
+    }
+  }
+  // Absence counts only in a report given under our token, with no command of ours under way.
+  const bool absence_counts = m.uncertain == 0 && m.token_seen >= token(m) && !m.in_flight;
+  std::vector<TaskKey> gone;
+  for (const auto& [key, attempt] : m.placed) {
+    if (present.count(key)) continue;
+    OwnedJob* j = job(key.first);
+    if (!j) continue;
+    const auto* p = j->cur.placement_of(key.second);
+    const auto* durable = model_.job(key.first);
+    const auto* d = durable ? durable->record.placement_of(key.second) : nullptr;
+    if (!p || !d || d->attempt != attempt) continue;  // not durable yet
+    if (j->cur.status != JobStatus::open || p->stopping) {
+      if (absence_counts) gone.push_back(key);
+    } else if (may_change && durable->record.status == JobStatus::open) {
+      commands.push_back({WorkerVerb::start, key.first, key.second, attempt, 0});
+      has_start = true;
+    }
+  }
+  for (const auto& [job_id, task] : gone) {
+    if (OwnedJob* j = job(job_id)) {
+      unplace(*j, task);
+      mark(job_id, 1);
+    }
+  }
+  return commands;
+}
+
+void Owner::direct(Machine& m) {
+  if (m.in_flight || ctx_.now < m.next_direct || !members_.may_answer_workers()) return;
+  const auto* record = model_.machine(m.id);
+  if (!record || record->record.address.empty() || record->record.doomed()) return;
+  bool has_start = false;
+  auto commands = reconcile(m, has_start);
+  const bool fence = m.token_seen < token(m);
+  if (commands.empty() && !m.wanted && !(fence && m.known)) return;
+  m.wanted = false;
+  m.in_flight = true;
+  ctx_.counters["direct_commands"]++;
+  const std::string id = m.id;
+  const uint64_t used_token = token(m);
+  CommandWorker c{record->record.address, used_token, m.session, std::move(commands)};
+  ctx_.call(std::move(c), ctx_.tune.direct_timeout_s, [this, id, used_token, has_start](CallDone&& d) {
+    Machine* mine = machine(id);
+    if (!mine) return;
+    mine->in_flight = false;
+    const auto* report = std::get_if<WorkerReport>(&d.reply);
+    if ((d.status == 200 || d.status == 409) && report && report->machine == id) {
+      mine->direct_failing_since = 0;
+      process(*mine, *report);
+      touched_.insert(id);
+      if (d.status == 409 && report->token > token(*mine)) mine->next_direct = ctx_.now + ctx_.tune.probe_every_s;
+      // The worker hears us again: a new token shuts out what is still under way.
+      if (mine->uncertain != 0) write_machine(id, 0, [](MachineRecord&) { return true; });
+    } else {
+      if (has_start) mine->uncertain = std::max(mine->uncertain, used_token);
+      if (mine->direct_failing_since == 0) mine->direct_failing_since = ctx_.now;
+      mine->next_direct = ctx_.now + ctx_.jitter(ctx_.tune.probe_every_s);
+      mine->wanted = true;
+    }
+  });
+}
+
+bool Owner::mass_silence(const Machine& m) const {
+  const auto* record = model_.machine(m.id);
+  int total = 0, silent = 0;
+  for (const auto& [id, o] : machines_) {
+    const auto* r = model_.machine(id);
+    if (!r || !record || r->record.zone != record->record.zone || r->record.address.empty()) continue;
+    ++total;
+    if (ctx_.now - o.last_news > ctx_.tune.probe_after_s) ++silent;
+  }
+  return silent > std::max(2.0, total * Tunables::kMassShare);
+}
+
+void Owner::condemn(Machine& m, const std::string& why) {
+  if (m.condemning || !can_act()) return;
+  m.condemning = true;
+  ctx_.counters["machines_condemned"]++;
+  ctx_.info("machine " + m.id + " condemned: " + why);
+  write_machine(m.id, 0, [](MachineRecord& r) {
+    r.phase = MachinePhase::condemned;
+    return true;
+  });
+}
+
+void Owner::check_health(Machine& m) {
+  const auto* record = model_.machine(m.id);
+  if (!record || record->record.doomed()) return;
+  if (m.quarantined && m.placed.empty()) return condemn(m, "faulty");
+  if (record->record.address.empty()) {
+    const auto* type = model_.type(record->record.type);
+    const double patience = (type ? type->boot_s : ctx_.settings.lease_s) * Tunables::kBootPatience + ctx_.settings.lease_s;
+    if (ctx_.wall - record->record.since > patience && ctx_.now - m.since > ctx_.settings.lease_s)
+      condemn(m, "never came up");
+    return;
+  }
+  const double silent = ctx_.now - m.last_news;
+  if (silent > ctx_.tune.probe_after_s) {
+    m.wanted = true;
+    touched_.insert(m.id);
+  }
+  const double deaf = m.direct_failing_since > 0 ? ctx_.now - m.direct_failing_since : 0;
+  const bool lost_both = silent > ctx_.tune.silence_limit_s && deaf > 0;
+  const bool deaf_only = deaf > ctx_.tune.silence_limit_s;
+  if (!lost_both && !deaf_only) return;
+  // Peers that hear it, or many silent at once, point to the network, not to the machine.
+  const bool doubtful = mass_silence(m) || (lost_both && members_.peer_hears(m.id));
+  if (doubtful && std::max(silent, deaf) < ctx_.tune.mass_silence_limit_s) return;
+  condemn(m, lost_both ? "silent" : "does not hear");
+}
+
+void Owner::settle_offer(Machine& m) {
+  const auto* record = model_.machine(m.id);
+  if (!record || record->record.phase != MachinePhase::offered) return;
+  const bool empty = m.placed.empty();
+  write_machine(m.id, 1, [this, empty, id = m.id](MachineRecord& r) {
+    if (r.phase != MachinePhase::offered) return false;
+    const Machine* mine = machine(id);
+    if (empty && mine && mine->placed.empty()) {
+      if (r.next_part < 0) {
+        r.phase = MachinePhase::released;
+        return true;
+      }
+      r.part = r.next_part;
+    }
+    r.phase = MachinePhase::assigned;
+    r.next_part = -1;
+    return true;
+  });
+}
+
+std::vector<std::string> Owner::heard() const {
+  std::vector<std::string> out;
+  for (const auto& [id, at] : heard_)
+    if (ctx_.now - at < ctx_.tune.probe_after_s) out.push_back(id);
+  return out;
+}
+
+void Owner::tick() {
+  if (ctx_.now >= next_health_) {
+    next_health_ = ctx_.now + ctx_.settings.report_s / 4;
+    std::vector<std::string> ids;
+    for (const auto& [id, m] : machines_) ids.push_back(id);
+    for (const auto& id : ids) {
+      if (Machine* m = machine(id)) {
+        check_health(*m);
+        settle_offer(*m);
+        if (m->wanted) touched_.insert(id);
+      }
+    }
+    for (auto it = heard_.begin(); it != heard_.end();)
+      it = ctx_.now - it->second > ctx_.settings.lease_s ? heard_.erase(it) : std::next(it);
+    // A cancelled task that can't be stopped in time goes with its machine.
+    std::erase_if(promises_, [&](const Promise& p) { return ctx_.now > p.until; });
+    want_schedule_ = true;
+  }
+  if (ctx_.now >= next_scan_ && can_act()) {
+    next_scan_ = ctx_.now + ctx_.operators.scan_period_s;
+    for (const int part : parts_) scan(part);
+  }
+}
+
+void Owner::work() {
+  if (want_schedule_ && can_act() && ctx_.now >= next_schedule_) {
+    want_schedule_ = false;
+    next_schedule_ = ctx_.now + ctx_.settings.report_s / 50;
+    for (const int part : parts_)
+      if (members_.held(part) != 0) schedule(part);
+  }
+  auto touched = std::move(touched_);
+  touched_.clear();
+  for (const auto& id : touched)
+    if (Machine* m = machine(id)) {
+      direct(*m);
+      // Still something to do later: a pause is over, or an answer outstanding.
+      if (m->wanted && !m->in_flight && ctx_.now < m->next_direct) touched_.insert(id);
+    }
+}
+
+// ---- scheduling ----
+
+std::vector<Slot> Owner::slots(int part) const {
+  std::vector<Slot> out;
+  for (const auto& [id, m] : machines_) {
+    const auto* record = model_.machine(id);
+    if (m.part != part || !record || !record->record.usable() || !m.known || m.quarantined || m.notice_s || m.condemning ||
+        m.writing || m.direct_failing_since > 0 || ctx_.now - m.last_news > ctx_.tune.probe_after_s)
+      continue;
+    const auto* type = model_.type(record->record.type);
+    if (!type) continue;
+    store::Resources free = type->size;
+    free.add(m.used, -1);
+    for (const auto& p : promises_)
+      if (p.machine == id) free.add(p.room, -1);
+    out.push_back({id, type, &record->record.zone, record->record.spot, free, m.placed.empty()});
+  }
+  return out;
+}
+
+ZoneCounts Owner::zones_of(const JobRecord& r) const {
+  ZoneCounts zones;
+  for (const auto& p : r.placed)
+    if (const auto* m = model_.machine(p.machine)) zones[m->record.zone]++;
+  return zones;
+}
+
+Fit Owner::fit_for(const OwnedJob& j) const { return {cpu_per_gpu_, &images_, &j.avoid}; }
+
+bool Owner::within_limit(const std::string& team, const store::Resources& more) const {
+  for (const auto& t : ctx_.settings.teams) {
+    if (t.name != team) continue;
+    store::Resources used = more;
+    const auto it = team_used_.find(team);
+    if (it != team_used_.end()) used.add(it->second);
+    return used.cpus <= t.limit.cpus + store::Resources::kSlack && used.gpus <= t.limit.gpus + store::Resources::kSlack;
+  }
+  return false;
+}
+
+// A record must stay below value_kb: the number of tasks placed at once is bound by it,
+// and since the lowest tasks start first, so is the number of holes among the done ones.
+uint32_t Owner::placement_room(const JobRecord& r) const {
+  constexpr double kPerPlacement = 44, kPerRun = 16, kFrame = 700;
+  const double room = ctx_.settings.value_kb * 1024 * 0.9 - kFrame - kPerRun * static_cast<double>(r.done.runs().size());
+  const double most = std::max(1.0, room / kPerPlacement);
+  return most <= static_cast<double>(r.placed.size()) ? 0 : static_cast<uint32_t>(most) - static_cast<uint32_t>(r.placed.size());
+}
+
+uint32_t Owner::next_pending(const JobRecord& r, uint32_t from) const {
+  for (uint32_t t = r.done.first_missing(from); t < r.spec.tasks; t = r.done.first_missing(t + 1))
+    if (!r.placement_of(t)) return t;
+  return r.spec.tasks;
+}
+
+std::vector<std::string> Owner::waiting(int part) const {
+  std::vector<std::string> ids;
+  for (const auto& [id, j] : jobs_)
+    if (j.part == part && j.cur.status == JobStatus::open && j.cur.done.size() + j.cur.placed.size() < j.cur.spec.tasks &&
+        ctx_.now >= j.retry_at && model_.job(id)->record.status == JobStatus::open)
+      ids.push_back(id);
+  std::sort(ids.begin(), ids.end(), [&](const std::string& a, const std::string& b) {
+    const auto &x = jobs_.at(a).cur, &y = jobs_.at(b).cur;
+    if (x.spec.rank != y.spec.rank) return x.spec.rank > y.spec.rank;
+    if (x.submitted != y.submitted) return x.submitted < y.submitted;
+    return a < b;
+  });
+  return ids;
+}
+
+bool Owner::place_some(const std::string& id, OwnedJob& j, std::vector<Slot>& slots) {
+  ZoneCounts zones = zones_of(j.cur);
+  const Fit fit = fit_for(j);
+  uint32_t room = placement_room(j.cur);
+  bool any = false;
+  for (uint32_t t = next_pending(j.cur, 0); t < j.cur.spec.tasks && room > 0; t = next_pending(j.cur, t + 1)) {
+    if (!within_limit(j.cur.spec.team, j.cur.spec.per_task)) break;
+    Slot* slot = pick(j.cur.spec, zones, slots, fit);
+    if (!slot) break;
+    place(j, t, slot->machine);
+    slot->free.add(j.cur.spec.per_task, -1);
+    slot->empty = false;
+    zones[*slot->zone]++;
+    --room;
+    any = true;
+  }
+  if (any) {
+    ctx_.counters["placements"]++;
+    mark(id, 0);
+  }
+  return any;
+}
+
+void Owner::schedule(int part) {
+  const auto ids = waiting(part);
+  if (ids.empty()) return;
+  cpu_per_gpu_ = 0;
+  for (const auto& [id, j] : jobs_)
+    if (j.cur.spec.per_task.gpus > 0)
+      cpu_per_gpu_ = std::max(cpu_per_gpu_, j.cur.spec.per_task.cpus / j.cur.spec.per_task.gpus);
+  // A queue for each team, served in turn by shares: who has least of its guarantee is next.
+  std::map<std::string, std::vector<std::string>> queues;
+  for (const auto& id : ids) queues[jobs_.at(id).cur.spec.team].push_back(id);
+  std::map<std::string, size_t> next;
+  auto open_slots = slots(part);
+  const auto load = [&](const std::string& team) {
+    const auto& used = team_used_[team];
+    double share = 1;
+    for (const auto& [name, s] : ctx_.operators.team_shares)
+      if (name == team) share = s;
+    for (const auto& t : ctx_.settings.teams)
+      if (t.name == team)
+        return std::max(t.guarantee.cpus > 0 ? used.cpus / t.guarantee.cpus : 0,
+                        t.guarantee.gpus > 0 ? used.gpus / t.guarantee.gpus : 0) /
+               share;
+    return 1e9;
+  };
+  // Shapes that did not fit in this pass need not be tried again.
+  std::set<std::string> hopeless;
+  for (;;) {
+    const std::string* team = nullptr;
+    for (const auto& [name, queue] : queues)
+      if (next[name] < queue.size() && (!team || load(name) < load(*team))) team = &name;
+    if (!team) return;
+    const std::string id = queues[*team][next[*team]++];
+    OwnedJob& j = jobs_.at(id);
+    const auto& s = j.cur.spec;
+    std::string shape;
+    if (j.cur.placed.empty() && j.avoid.empty()) {
+      shape = s.job_class + "|" + s.team + "|" + std::to_string(s.per_task.cpus) + "|" + std::to_string(s.per_task.gpus) + "|" +
+              std::to_string(s.per_task.memory_gb) + "|" + (s.spot ? "s" : "") + (s.zone ? *s.zone : "");
+      if (s.types)
+        for (const auto& t : *s.types) shape += "|" + t;
+      if (hopeless.count(shape)) continue;
+    }
+    // Room promised to this job counts for it.
+    bool promised = false;
+    for (const auto& p : promises_)
+      if (p.job == id) {
+        promised = true;
+        for (auto& slot : open_slots)
+          if (slot.machine == p.machine) slot.free.add(p.room);
+      }
+    if (promised) std::erase_if(promises_, [&](const Promise& p) { return p.job == id && machine(p.machine) == nullptr; });
+    const bool placed = place_some(id, j, open_slots);
+    if (promised && placed) {
+      std::erase_if(promises_, [&](const Promise& p) { return p.job == id; });
+    } else if (promised) {
+      for (const auto& p : promises_)
+        if (p.job == id)
+          for (auto& slot : open_slots)
+            if (slot.machine == p.machine) slot.free.add(p.room, -1);
+    }
+    if (!placed && !shape.empty()) hopeless.insert(shape);
+  }
+}
+
+// ---- the design's path: nominate, try, commit or roll back ----
+
+std::string Owner::skip_reason(const OwnedJob& j) const {
+  const auto& r = j.cur;
+  const auto& ranks = ctx_.operators.preemptible;
+  if (r.running() == 0) return "not_running";
+  if (std::find(ranks.begin(), ranks.end(), r.spec.rank) == ranks.end()) return "not_preemptible";
+  if (!(r.spec.estimate_s > 0)) return "invalid_duration";
+  if (r.last_start <= 0) return "missing_start";
+  // Two nodes' clocks may differ by twice the bound; only more than that is a skew.
+  if (ctx_.wall < r.last_start - 2 * ctx_.settings.clock_error_s) return "clock_skew";
+  if (ctx_.wall - r.last_start < r.spec.estimate_s) return "not_due";
+  if (!std::isfinite(r.not_before) || r.not_before < 0) return "invalid_not_before";
+  if (ctx_.wall < r.not_before) return "cooldown";
+  return "";
+}
+
+bool Owner::fits_whole(const OwnedJob& contender, std::vector<Slot> picture,
+                       std::vector<std::pair<std::string, store::Resources>>* used) const {
+  ZoneCounts zones = zones_of(contender.cur);
+  const Fit fit = fit_for(contender);
+  const uint32_t need = contender.cur.spec.tasks - contender.cur.done.size() - static_cast<uint32_t>(contender.cur.placed.size());
+  store::Resources more;
+  for (uint32_t i = 0; i < need; ++i) {
+    more.add(contender.cur.spec.per_task);
+    if (!within_limit(contender.cur.spec.team, more)) return false;
+    Slot* slot = pick(contender.cur.spec, zones, picture, fit);
+    if (!slot) return false;
+    slot->free.add(contender.cur.spec.per_task, -1);
+    zones[*slot->zone]++;
+    if (used) used->emplace_back(slot->machine, contender.cur.spec.per_task);
+  }
+  return true;
+}
+
+void Owner::scan(int part) {
+  auto contenders = waiting(part);
+  std::vector<std::string> candidates;
+  for (const auto& [id, j] : jobs_) {
+    if (j.part != part || j.cur.status != JobStatus::open) continue;
+    const std::string reason = skip_reason(j);
+    if (reason.empty()) {
+      ctx_.counters["requeue_nominations_total"]++;
+      candidates.push_back(id);
+    } else {
+      ctx_.counters["requeue_nomination_skipped_total." + reason]++;
+    }
+  }
+  if (contenders.empty() || candidates.empty()) return;
+  // Least lost work first: what can save, then what started last.
+  std::sort(candidates.begin(), candidates.end(), [&](const std::string& a, const std::string& b) {
+    const auto &x = jobs_.at(a).cur, &y = jobs_.at(b).cur;
+    const bool sx = x.spec.checkpoint_s > 0, sy = y.spec.checkpoint_s > 0;
+    if (sx != sy) return sx;
+    if (x.last_start != y.last_start) return x.last_start > y.last_start;
+    return a < b;
+  });
+  for (const auto& candidate : candidates) {
+    OwnedJob& victim = jobs_.at(candidate);
+    auto picture = slots(part);
+    for (const auto& p : victim.cur.placed)
+      for (auto& slot : picture)
+        if (slot.machine == p.machine) slot.free.add(victim.cur.spec.per_task);
+    for (auto it = contenders.begin(); it != contenders.end(); ++it) {
+      const OwnedJob& contender = jobs_.at(*it);
+      if (contender.cur.spec.rank <= victim.cur.spec.rank) break;  // sorted by rank
+      if (std::any_of(promises_.begin(), promises_.end(), [&](const Promise& p) { return p.job == *it; })) continue;
+      std::vector<std::pair<std::string, store::Resources>> used;
+      if (!fits_whole(contender, picture, &used)) {
+        ctx_.counters["requeue_rollbacks_total"]++;
+        continue;
+      }
+      ctx_.counters["requeue_commits_total"]++;
+      ctx_.info("requeue committed: " + candidate + " makes room for " + *it);
+      victim.cur.not_before = ctx_.wall + ctx_.operators.requeue_delay_s;
+      for (auto& p : victim.cur.placed) p.stopping = true;
+      mark(candidate, 0);
+      for (const auto& [machine_id, room] : used)
+        promises_.push_back({*it, machine_id, room, ctx_.now + ctx_.settings.lease_s});
+      contenders.erase(it);
+      break;
+    }
+  }
+}
+
+store::Json Owner::stats() const {
+  store::Json j;
+  j["jobs"] = jobs_.size();
+  j["machines"] = machines_.size();
+  j["parts"] = parts_;
+  size_t waiting_jobs = 0;
+  for (const int part : parts_) waiting_jobs += waiting(part).size();
+  j["waiting"] = waiting_jobs;
+  return j;
+}
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/owner.h
@@ -0,0 +1,126 @@
+// The owner of parts: places tasks, commands workers, follows their reports.
+#pragma once
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "coordination/membership.h"
+#include "coordination/placement.h"
+
+namespace rushtrestle::coordination {
+
+class Owner {
+ public:
+  Owner(Context& ctx, store::Model& model, StateLink& link, Membership& members, ImageCaches& images);
+
+  void gained(int part);
+  void lost(int part);
+  void job_changed(const std::string& id);
+  void machine_changed(const std::string& id);
+  void take_report(RequestId request, WorkerReport&& report);
+  void tick();
+  /// At the end of a batch: place what waits, command whoever needs it.
+  void work();
+  std::vector<std::string> heard() const;
+  store::Json stats() const;
+
+ private:
+  using TaskKey = std::pair<std::string, uint32_t>;
+  struct OwnedJob {
+    store::JobRecord cur;  // what shall be; the model holds what is durable
+    int part = 0;
+    bool dirty = false;
+    int queued_priority = 99;
+    double retry_at = 0;
+    int failures = 0;
+    std::set<std::string> avoid;
+  };
+  struct Machine {
+    std::string id;
+    int part = 0;
+    double since = 0;        // when we began to be responsible for it
+    double last_news = 0;    // last newer report, however it came
+    double direct_failing_since = 0;
+    uint64_t session = 0, seq = 0, token_seen = 0;
+    bool known = false;      // reported to us
+    std::vector<ReportedTask> reported;
+    std::optional<double> notice_s;
+    bool in_flight = false, wanted = false, condemning = false, writing = false;
+    double next_direct = 0;
+    // A start went out directly and was not answered: it may be carried out minutes
+    // later, as long as the worker has seen no token above this one.
+    uint64_t uncertain = 0;
+    std::set<std::string> failed_jobs;
+    bool quarantined = false;
+    std::map<TaskKey, uint64_t> placed;  // attempt by task
+    store::Resources used;
+  };
+
+  OwnedJob* job(const std::string& id);
+  Machine* machine(const std::string& id);
+  uint64_t token(const Machine& m) const;
+  int machine_part(const std::string& id) const;
+  bool can_act() const { return link_.lease_valid() && !link_.in_doubt(); }
+
+  // bookkeeping
+  void adopt_job(const std::string& id, const store::JobRecord& record);
+  void index(const store::JobRecord& r, const store::Placement& p, double sign);
+  void rebase(const std::string& id);
+  void drop_job(const std::string& id);
+  void place(OwnedJob& j, uint32_t task, const std::string& machine);
+  void unplace(OwnedJob& j, uint32_t task);
+  void mark(const std::string& id, int priority);
+  void machine_gone(const std::string& id);
+  void write_machine(const std::string& id, int priority, std::function<bool(store::MachineRecord&)> change);
+
+  // workers
+  bool process(Machine& m, const WorkerReport& report);
+  std::vector<WorkerCommand> reconcile(Machine& m, bool& has_start);
+  void task_ended(Machine& m, OwnedJob& j, const ReportedTask& t);
+  void direct(Machine& m);
+  void check_health(Machine& m);
+  bool mass_silence(const Machine& m) const;
+  void condemn(Machine& m, const std::string& why);
+  void settle_offer(Machine& m);
+
+  // scheduling
+  std::vector<Slot> slots(int part) const;
+  Fit fit_for(const OwnedJob& j) const;
+  ZoneCounts zones_of(const store::JobRecord& r) const;
+  bool within_limit(const std::string& team, const store::Resources& more) const;
+  uint32_t placement_room(const store::JobRecord& r) const;
+  uint32_t next_pending(const store::JobRecord& r, uint32_t from) const;
+  void schedule(int part);
+  bool place_some(const std::string& id, OwnedJob& j, std::vector<Slot>& slots);
+  std::vector<std::string> waiting(int part) const;
+  void scan(int part);
+  std::string skip_reason(const OwnedJob& j) const;
+  bool fits_whole(const OwnedJob& contender, std::vector<Slot> picture, std::vector<std::pair<std::string, store::Resources>>* used) const;
+
+  Context& ctx_;
+  store::Model& model_;
+  StateLink& link_;
+  Membership& members_;
+  ImageCaches& images_;
+  std::set<int> parts_;
+  std::unordered_map<std::string, OwnedJob> jobs_;
+  std::map<std::string, Machine> machines_;
+  std::map<std::string, store::Resources> team_used_;
+  std::unordered_map<std::string, double> heard_;
+  std::set<std::string> touched_;  // machines to command at the end of the batch
+  bool want_schedule_ = false;
+  double next_schedule_ = 0, next_scan_ = 0, next_health_ = 0;
+  double cpu_per_gpu_ = 0;
+  // Room that a commit freed for its contender, until that is placed.
+  struct Promise {
+    std::string job, machine;
+    store::Resources room;
+    double until;
+  };
+  std::vector<Promise> promises_;
+};
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/placement.cpp
@@ -0,0 +1,94 @@
+#include "coordination/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rushtrestle::coordination {
+
+using store::JobKind;
+using store::JobSpec;
+
+void ImageCaches::used(const std::string& machine, const std::string& image, double gb, double cache_gb) {
+  auto& list = machines_[machine];
+  const auto it = std::find_if(list.begin(), list.end(), [&](const Cached& c) { return c.image == image; });
+  if (it != list.end()) {
+    std::rotate(it, it + 1, list.end());
+    return;
+  }
+  double total = gb;
+  for (const auto& c : list) total += c.gb;
+  while (!list.empty() && total > cache_gb) {
+    total -= list.front().gb;
+    list.erase(list.begin());
+  }
+  list.push_back({image, gb});
+}
+
+bool ImageCaches::has(const std::string& machine, const std::string& image) const {
+  const auto it = machines_.find(machine);
+  return it != machines_.end() &&
+         std::any_of(it->second.begin(), it->second.end(), [&](const Cached& c) { return c.image == image; });
+}
+
+bool type_allowed(const JobSpec& spec, const std::string& type) {
+  return !spec.types || std::find(spec.types->begin(), spec.types->end(), type) != spec.types->end();
+}
+
+bool zone_allowed(const JobSpec& spec, const std::string& zone, const ZoneCounts& placed) {
+  if (spec.zone && *spec.zone != zone) return false;
+  if (spec.one_zone)
+    for (const auto& [z, n] : placed)
+      if (n > 0 && z != zone) return false;
+  if (spec.spread) {
+    const auto it = placed.find(zone);
+    if ((it == placed.end() ? 0 : it->second) + 1 > (spec.tasks + 1) / 2) return false;
+  }
+  return true;
+}
+
+bool kind_allowed(const JobSpec& spec, bool spot) { return !spot || spec.spot; }
+
+int capacity_for(const JobSpec& spec, const store::MachineType& type) {
+  double n = 1e9;
+  const auto limit = [&](double size, double per_task) {
+    if (per_task > 0) n = std::min(n, std::floor(size / per_task + store::Resources::kSlack));
+  };
+  limit(type.size.cpus, spec.per_task.cpus);
+  limit(type.size.gpus, spec.per_task.gpus);
+  limit(type.size.memory_gb, spec.per_task.memory_gb);
+  return static_cast<int>(n);
+}
+
+Slot* pick(const JobSpec& spec, const ZoneCounts& placed, std::vector<Slot>& slots, const Fit& fit) {
+  Slot* best = nullptr;
+  double best_score = 0;
+  for (auto& slot : slots) {
+    if (!spec.per_task.fits(slot.free) || !type_allowed(spec, slot.type->name) || !kind_allowed(spec, slot.spot) ||
+        !zone_allowed(spec, *slot.zone, placed))
+      continue;
+    if (fit.avoid && fit.avoid->count(slot.machine)) continue;
+    const auto& size = slot.type->size;
+    // CPUs beside free GPUs are theirs: a task without GPUs must not strand them.
+    if (spec.per_task.gpus == 0 && size.gpus > 0 &&
+        slot.free.cpus - spec.per_task.cpus + store::Resources::kSlack < slot.free.gpus * fit.cpu_per_gpu)
+      continue;
+    // In seconds: fetches dominate starts. Work that may use spot machines leaves the others free;
+    // after that the fullest machine, so that the emptiest can be given back.
+    double score = 0;
+    if (fit.images && !fit.images->has(slot.machine, spec.image))
+      score += spec.image_gb / std::max(0.01, slot.type->fetch_gb_per_s);
+    if (spec.spot && !slot.spot) score += 30;
+    const double free_share = size.gpus > 0 && spec.per_task.gpus > 0 ? slot.free.gpus / size.gpus
+                              : size.cpus > 0                         ? slot.free.cpus / size.cpus
+                                                                      : 0;
+    score += 3 * free_share;
+    if (slot.empty) score += 3;
+    if (!best || score < best_score) {
+      best = &slot;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/placement.h
@@ -0,0 +1,57 @@
+// Where a task fits: one picture of machines, used by owners to place and by the
+// leader to plan. Changing a picture changes nothing else.
+#pragma once
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "store/records.h"
+
+namespace rushtrestle::coordination {
+
+/// Which images a machine has, as far as the placements seen tell: the most recently used ones.
+class ImageCaches {
+ public:
+  void used(const std::string& machine, const std::string& image, double gb, double cache_gb);
+  bool has(const std::string& machine, const std::string& image) const;
+  void forget(const std::string& machine) { machines_.erase(machine); }
+
+ private:
+  struct Cached {
+    std::string image;
+    double gb;
+  };
+  std::map<std::string, std::vector<Cached>> machines_;  // least recently used first
+};
+
+struct Slot {
+  std::string machine;
+  const store::MachineType* type = nullptr;
+  const std::string* zone = nullptr;
+  bool spot = false;
+  store::Resources free;
+  bool empty = true;  // nothing placed on it
+};
+
+/// Tasks of one job by zone, those on machines included.
+using ZoneCounts = std::map<std::string, uint32_t>;
+
+struct Fit {
+  double cpu_per_gpu = 0;  // what tasks with GPUs take; kept free beside free GPUs
+  const ImageCaches* images = nullptr;
+  const std::set<std::string>* avoid = nullptr;  // machines that failed this job
+};
+
+bool type_allowed(const store::JobSpec& spec, const std::string& type);
+/// May one more task of the job go to this zone, given those placed?
+bool zone_allowed(const store::JobSpec& spec, const std::string& zone, const ZoneCounts& placed);
+bool kind_allowed(const store::JobSpec& spec, bool spot);
+
+/// The best slot for one more task, or null.
+Slot* pick(const store::JobSpec& spec, const ZoneCounts& placed, std::vector<Slot>& slots, const Fit& fit);
+
+/// How many tasks of this shape an empty machine takes.
+int capacity_for(const store::JobSpec& spec, const store::MachineType& type);
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/state_link.cpp
@@ -0,0 +1,383 @@
+#include "coordination/state_link.h"
+
+#include <algorithm>
+
+namespace rushtrestle::coordination {
+
+using store::Change;
+
+void StateLink::succeeded(double sent_at) {
+  last_contact_ = std::max(last_contact_, sent_at);
+  failing_ = false;
+}
+
+void StateLink::failed() {
+  if (!failing_) ctx_.info("state service: no answer or refused");
+  failing_ = true;
+  fail_proofs();
+}
+
+void StateLink::set_weight(double share) {
+  const double rps = ctx_.settings.state_rps * Tunables::kBudget * share;
+  watch_budget_.set_rate(rps * Tunables::kWatchShare);
+  proof_budget_.set_rate(rps * Tunables::kProofShare);
+  txn_budget_.set_rate(rps * Tunables::kTxnShare);
+  write_rate_ = ctx_.settings.state_write_rps * Tunables::kBudget * share;
+  write_budget_.set_rate(write_rate_);
+}
+
+double StateLink::backlog() const {
+  size_t n = 0;
+  for (const auto& q : queue_) n += q.size();
+  return static_cast<double>(n);
+}
+
+double StateLink::accept_delay() const { return static_cast<double>(queue_[0].size()) / std::max(0.1, write_rate_); }
+
+void StateLink::tick() {
+  if (!renewing_ && ctx_.now >= next_renew_) renew();
+  if (!synced_ && !syncing_ && ctx_.now >= next_sync_) start_sync();
+  if (synced_ && !following_ && ctx_.now >= next_follow_ && watch_budget_.ready(ctx_.now)) follow();
+  for (size_t i = 0; i < lookups_due_.size();) {
+    if (ctx_.now < lookups_due_[i].first) {
+      ++i;
+      continue;
+    }
+    ItemPtr item = lookups_due_[i].second;
+    lookups_due_.erase(lookups_due_.begin() + static_cast<long>(i));
+    look_up(std::move(item));
+  }
+  send_proof();
+  settle_proofs();
+  flush();
+}
+
+// ---- lease ----
+
+void StateLink::renew() {
+  renewing_ = true;
+  const double sent = ctx_.now, timeout = ctx_.tune.renew_every_s;
+  if (lease_ == 0) {
+    ctx_.call(GrantLease{ctx_.tune.state_lease_s}, timeout, [this, sent](CallDone&& d) {
+      renewing_ = false;
+      const auto* reply = std::get_if<LeaseReply>(&d.reply);
+      if (d.status != 200 || !reply) {
+        failed();
+        next_renew_ = ctx_.now + ctx_.jitter(ctx_.tune.renew_every_s / 3);
+        return;
+      }
+      succeeded(sent);
+      lease_ = reply->lease;
+      // Counted from the sending, less the drift between two machines' clocks.
+      lease_until_ = sent + ctx_.tune.state_lease_s * 0.998;
+      next_renew_ = ctx_.now + ctx_.tune.renew_every_s;
+    });
+    return;
+  }
+  ctx_.call(ExtendLease{lease_}, timeout, [this, sent](CallDone&& d) {
+    renewing_ = false;
+    if (d.status == 200) {
+      succeeded(sent);
+      lease_until_ = sent + ctx_.tune.state_lease_s * 0.998;
+      next_renew_ = ctx_.now + ctx_.tune.renew_every_s;
+    } else if (d.status == 404) {
+      succeeded(sent);
+      ctx_.info("our lease at the state service is gone");
+      lease_ = 0;
+      next_renew_ = ctx_.now;
+      if (on_lease_lost) on_lease_lost();
+    } else {
+      failed();
+      next_renew_ = ctx_.now + ctx_.jitter(ctx_.tune.renew_every_s / 3);
+    }
+  });
+}
+
+// ---- model ----
+
+void StateLink::start_sync() {
+  syncing_ = true;
+  seen_.clear();
+  read_page("", 0);
+}
+
+void StateLink::read_page(std::string after, uint64_t first_revision) {
+  const double sent = ctx_.now;
+  ctx_.call(ReadPage{"", after}, ctx_.settings.report_s, [this, sent, first_revision](CallDone&& d) {
+    auto* page = std::get_if<PageReply>(&d.reply);
+    if (d.status != 200 || !page) {
+      failed();
+      syncing_ = false;
+      next_sync_ = ctx_.now + ctx_.jitter(ctx_.tune.renew_every_s / 2);
+      return;
+    }
+    succeeded(sent);
+    const uint64_t revision = first_revision ? first_revision : std::max<uint64_t>(1, page->revision);
+    for (const auto& e : page->entries) {
+      seen_.insert(e.key);
+      if (!model_.apply(e)) ctx_.complain("record", "record " + e.key + " can't be read");
+    }
+    if (page->more && !page->entries.empty()) {
+      read_page(page->entries.back().key, revision);
+      return;
+    }
+    // Leased keys are the only ones that vanish; a gap may have hidden it.
+    std::vector<std::string> leased{store::kLeaderKey};
+    for (int p = 0; p < ctx_.settings.nodes; ++p) leased.push_back(store::part_key(p));
+    for (const auto& key : leased)
+      if (!seen_.count(key) && model_.stamp_of(key) != 0 && model_.stamp_of(key) <= revision)
+        model_.apply(Change{key, std::nullopt, revision});
+    model_.reached(revision);
+    seen_.clear();
+    syncing_ = false;
+    synced_ = true;
+    ctx_.info("model read up to revision " + std::to_string(revision));
+    model_advanced();
+  });
+}
+
+void StateLink::follow() {
+  following_ = true;
+  watch_budget_.take(1);
+  const double sent = ctx_.now;
+  ctx_.call(Watch{model_.revision(), ctx_.tune.watch_hold_s}, ctx_.tune.watch_hold_s + ctx_.settings.report_s,
+            [this, sent](CallDone&& d) {
+              following_ = false;
+              auto* reply = std::get_if<WatchReply>(&d.reply);
+              if (d.status == 410) {
+                synced_ = false;
+                return;
+              }
+              if (d.status != 200 || !reply) {
+                failed();
+                next_follow_ = ctx_.now + ctx_.jitter(ctx_.tune.renew_every_s / 4);
+                return;
+              }
+              succeeded(sent);
+              for (const auto& e : reply->events)
+                if (!model_.apply(e)) ctx_.complain("record", "record " + e.key + " can't be read");
+              model_.reached(reply->revision);
+              model_advanced();
+            });
+}
+
+void StateLink::model_advanced() { settle_proofs(); }
+
+// ---- proofs ----
+
+void StateLink::prove(std::function<void(bool)> then) {
+  if (in_doubt()) {
+    then(false);
+    return;
+  }
+  unproven_.push_back(std::move(then));
+}
+
+void StateLink::send_proof() {
+  if (unproven_.empty() || proving_ || !proof_budget_.ready(ctx_.now)) return;
+  proof_budget_.take(1);
+  proving_ = true;
+  const double sent = ctx_.now;
+  auto waiting = std::make_shared<std::vector<std::function<void(bool)>>>(std::move(unproven_));
+  unproven_.clear();
+  // A key that nobody writes: its 404 carries the service's revision.
+  ctx_.call(ReadKey{"none"}, ctx_.tune.poll_wait_s * 0.6, [this, sent, waiting](CallDone&& d) {
+    proving_ = false;
+    const auto* reply = std::get_if<KeyReply>(&d.reply);
+    if (d.status != 404 || !reply) {
+      failed();
+      for (auto& w : *waiting) w(false);
+      return;
+    }
+    succeeded(sent);
+    proofs_.push_back({reply->revision, ctx_.now + ctx_.tune.poll_wait_s * 0.6, std::move(*waiting)});
+    settle_proofs();
+  });
+}
+
+void StateLink::settle_proofs() {
+  for (size_t i = 0; i < proofs_.size();) {
+    const bool ok = synced_ && model_.revision() >= proofs_[i].revision;
+    if (!ok && ctx_.now < proofs_[i].deadline) {
+      ++i;
+      continue;
+    }
+    auto waiting = std::move(proofs_[i].waiting);
+    proofs_.erase(proofs_.begin() + static_cast<long>(i));
+    for (auto& w : waiting) w(ok);
+  }
+}
+
+void StateLink::fail_proofs() {
+  auto waiting = std::move(unproven_);
+  unproven_.clear();
+  for (auto& w : waiting) w(false);
+}
+
+// ---- writes ----
+
+void StateLink::write(WriteRequest request) {
+  auto item = std::make_shared<Item>();
+  const int priority = std::clamp(request.priority, 0, kPriorities - 1);
+  item->request = std::move(request);
+  queue_[priority].push_back(std::move(item));
+}
+
+void StateLink::requeue(const ItemPtr& item) {
+  queue_[std::clamp(item->request.priority, 0, kPriorities - 1)].push_front(item);
+}
+
+void StateLink::flush() {
+  constexpr size_t kTxnBytes = 56 * 1024;  // the service takes 64 KiB; the rest is for the frame
+  while (txns_in_flight_ < Tunables::kTxnsInFlight && ctx_.now >= hold_writes_until_ && lease_valid()) {
+    if (!txn_budget_.ready(ctx_.now) || !write_budget_.ready(ctx_.now)) return;
+    std::vector<ItemPtr> items;
+    std::set<std::string> keys, conditions;
+    size_t bytes = 0;
+    const auto ops = static_cast<size_t>(ctx_.settings.txn_ops);
+    bool full = false;
+    for (auto& queue : queue_) {
+      for (auto it = queue.begin(); it != queue.end() && !full;) {
+        ItemPtr item = *it;
+        if (keys_in_flight_.count(item->request.key) || keys.count(item->request.key)) {
+          ++it;
+          continue;
+        }
+        item->prepared = {};
+        if (!item->request.prepare(item->prepared)) {
+          it = queue.erase(it);
+          item->request.done(WriteOutcome::skipped, 0);
+          // The callback may have queued more: begin again, with an iterator that holds.
+          it = queue.begin();
+          continue;
+        }
+        size_t size = 200;
+        if (item->prepared.value) {
+          item->writer = ctx_.incarnation + "." + std::to_string(++writes_);
+          (*item->prepared.value)["w"] = item->writer;
+          size += item->prepared.value->dump().size();
+        }
+        std::set<std::string> more = conditions;
+        more.insert(item->request.key);
+        for (const auto& c : item->prepared.conditions) more.insert(c.key);
+        if (!items.empty() && (more.size() > ops * 4 || bytes + size > kTxnBytes)) {
+          full = true;
+          break;
+        }
+        conditions = std::move(more);
+        bytes += size;
+        keys.insert(item->request.key);
+        items.push_back(item);
+        it = queue.erase(it);
+        full = items.size() >= ops;
+      }
+      if (full) break;
+    }
+    if (items.empty()) return;
+    send(std::move(items));
+  }
+}
+
+void StateLink::send(std::vector<ItemPtr> items) {
+  Txn txn;
+  std::map<std::string, uint64_t> conditions;
+  for (const auto& item : items) {
+    conditions[item->request.key] = item->prepared.expected;
+    for (const auto& c : item->prepared.conditions) conditions.emplace(c.key, c.stamp);
+    txn.writes.push_back({item->request.key, item->prepared.value, item->prepared.lease});
+    keys_in_flight_.insert(item->request.key);
+  }
+  for (const auto& [key, stamp] : conditions) txn.conditions.push_back({key, stamp});
+  txn_budget_.take(1);
+  write_budget_.take(static_cast<double>(items.size()));
+  ++txns_in_flight_;
+  const double sent = ctx_.now;
+  ctx_.call(std::move(txn), ctx_.tune.poll_wait_s, [this, sent, items = std::move(items)](CallDone&& d) mutable {
+    finished(std::move(items), sent, std::move(d));
+  });
+}
+
+void StateLink::finished(std::vector<ItemPtr> items, double sent_at, CallDone&& d) {
+  --txns_in_flight_;
+  const auto* reply = std::get_if<TxnReply>(&d.reply);
+  if (d.status == 200 && reply) {
+    succeeded(sent_at);
+    for (const auto& item : items) {
+      keys_in_flight_.erase(item->request.key);
+      model_.apply(Change{item->request.key, item->prepared.value, reply->revision});
+    }
+    for (const auto& item : items) item->request.done(WriteOutcome::applied, reply->revision);
+    return;
+  }
+  if (d.status == 409 && reply) {
+    succeeded(sent_at);
+    const std::set<std::string> bad(reply->failed.begin(), reply->failed.end());
+    for (auto it = items.rbegin(); it != items.rend(); ++it) {
+      const auto& p = (*it)->prepared;
+      const bool hit = bad.count((*it)->request.key) ||
+                       std::any_of(p.conditions.begin(), p.conditions.end(), [&](const auto& c) { return bad.count(c.key); });
+      if (hit) {
+        look_up(*it);
+      } else {
+        keys_in_flight_.erase((*it)->request.key);
+        requeue(*it);
+      }
+    }
+    return;
+  }
+  if (d.status == 0) {
+    // It may have been carried out, or may yet be: read before deciding.
+    failed();
+    for (const auto& item : items) look_up(item);
+    return;
+  }
+  if (d.status == 503 || d.status == 429) {
+    if (d.status == 503) failed();
+    ctx_.counters[d.status == 429 ? "state_429" : "state_503"]++;
+    hold_writes_until_ = ctx_.now + ctx_.jitter(d.status == 429 ? ctx_.settings.report_s / 20 : ctx_.settings.report_s / 5);
+    for (auto it = items.rbegin(); it != items.rend(); ++it) {
+      keys_in_flight_.erase((*it)->request.key);
+      requeue(*it);
+    }
+    return;
+  }
+  ctx_.complain("txn", "state service refused a transaction with status " + std::to_string(d.status));
+  for (const auto& item : items) {
+    keys_in_flight_.erase(item->request.key);
+    // One bad write must not take the others of its transaction with it.
+    if (items.size() > 1 && item->prepared.lease == 0) {
+      requeue(item);
+    } else {
+      item->request.done(WriteOutcome::refused, 0);
+    }
+  }
+}
+
+void StateLink::look_up(ItemPtr item) {
+  const double sent = ctx_.now;
+  ctx_.call(ReadKey{item->request.key}, ctx_.tune.poll_wait_s, [this, sent, item](CallDone&& d) {
+    const auto* reply = std::get_if<KeyReply>(&d.reply);
+    if ((d.status != 200 && d.status != 404) || !reply) {
+      failed();
+      // The key stays blocked until its value is known; a pause, then again.
+      lookups_due_.emplace_back(ctx_.now + ctx_.jitter(ctx_.tune.renew_every_s / 3), item);
+      return;
+    }
+    succeeded(sent);
+    keys_in_flight_.erase(item->request.key);
+    uint64_t stamp = 0;
+    std::string writer;
+    if (reply->entry) {
+      stamp = reply->entry->stamp;
+      if (reply->entry->value->is_object()) writer = reply->entry->value->value("w", "");
+      model_.apply(*reply->entry);
+    }
+    if (!item->writer.empty() && writer == item->writer) {
+      item->request.done(WriteOutcome::applied, stamp);
+    } else {
+      item->request.done(WriteOutcome::conflict, stamp);
+    }
+  });
+}
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/state_link.h
@@ -0,0 +1,107 @@
+// This node's link to the state service: its lease, the warm model, the queue of
+// writes within the budget, and proofs that the model is current.
+#pragma once
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "coordination/context.h"
+
+namespace rushtrestle::coordination {
+
+enum class WriteOutcome {
+  applied,
+  conflict,  // somebody else wrote first; the model holds what the key has now
+  refused,   // the service won't take it
+  skipped    // `prepare` found nothing to write
+};
+
+struct Prepared {
+  uint64_t expected = 0;  // stamp that the key must have, 0: absent
+  std::optional<store::Json> value;
+  uint64_t lease = 0;
+  std::vector<Condition> conditions;  // besides the key's own
+};
+
+struct WriteRequest {
+  std::string key;
+  int priority = 0;  // 0: accept, cancel, start; 1: done; 2: bookkeeping
+  std::function<bool(Prepared&)> prepare;  // runs when the write is about to leave
+  std::function<void(WriteOutcome, uint64_t stamp)> done;
+};
+
+class StateLink {
+ public:
+  StateLink(Context& ctx, store::Model& model) : ctx_(ctx), model_(model) {}
+
+  void tick();
+  void write(WriteRequest request);
+  /// Runs `then(true)` once the model is known to be at least as new as this call.
+  void prove(std::function<void(bool)> then);
+  void model_advanced();
+
+  bool synced() const { return synced_; }
+  bool lease_valid() const { return lease_ != 0 && ctx_.now < lease_until_; }
+  /// The last request failed and none has succeeded since: whoever asks is told at once.
+  bool in_doubt() const { return !synced_ || failing_ || !lease_valid(); }
+  uint64_t lease() const { return lease_; }
+  double last_contact() const { return last_contact_; }
+  double backlog() const;
+  /// How long a write of the first priority would wait now.
+  double accept_delay() const;
+  void set_weight(double share_of_budget);
+  std::function<void()> on_lease_lost;
+
+ private:
+  struct Item {
+    WriteRequest request;
+    Prepared prepared;
+    std::string writer;
+  };
+  using ItemPtr = std::shared_ptr<Item>;
+  void succeeded(double sent_at);
+  void failed();
+  void renew();
+  void start_sync();
+  void read_page(std::string after, uint64_t first_revision);
+  void follow();
+  void send_proof();
+  void fail_proofs();
+  void settle_proofs();
+  void flush();
+  void send(std::vector<ItemPtr> items);
+  void finished(std::vector<ItemPtr> items, double sent_at, CallDone&& done);
+  void look_up(ItemPtr item);
+  void requeue(const ItemPtr& item);
+
+  Context& ctx_;
+  store::Model& model_;
+  uint64_t lease_ = 0;
+  double lease_until_ = 0, next_renew_ = 0, last_contact_ = 0;
+  bool renewing_ = false, failing_ = false;
+  bool synced_ = false, syncing_ = false, following_ = false;
+  double next_sync_ = 0, next_follow_ = 0;
+  std::set<std::string> seen_;
+  TokenBucket watch_budget_, proof_budget_, txn_budget_, write_budget_;
+  double write_rate_ = 1;
+
+  struct Proof {
+    uint64_t revision;
+    double deadline;
+    std::vector<std::function<void(bool)>> waiting;
+  };
+  std::vector<std::function<void(bool)>> unproven_;
+  bool proving_ = false;
+  std::vector<Proof> proofs_;
+
+  static constexpr int kPriorities = 3;
+  std::deque<ItemPtr> queue_[kPriorities];
+  std::set<std::string> keys_in_flight_;
+  std::vector<std::pair<double, ItemPtr>> lookups_due_;
+  int txns_in_flight_ = 0;
+  double hold_writes_until_ = 0;
+  uint64_t writes_ = 0;
+};
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/tunables.h
@@ -0,0 +1,49 @@
+// Every tunable of the service, each as a ratio to a figure of the settings.
+#pragma once
+#include <algorithm>
+
+#include "store/domain.h"
+
+namespace rushtrestle::coordination {
+
+struct Tunables {
+  explicit Tunables(const store::Settings& s)
+      : state_lease_s(s.lease_s / 4),
+        renew_every_s(state_lease_s / 3),
+        watch_hold_s(s.lease_s / 3.5),
+        peer_every_s(s.report_s / 2),
+        peer_fresh_s(s.report_s * 1.5),
+        probe_after_s(s.report_s * 2.5),
+        probe_every_s(s.report_s / 2),
+        direct_timeout_s(s.report_s),
+        silence_limit_s(s.lease_s * 0.6),
+        mass_silence_limit_s(s.lease_s * 2),
+        blind_limit_s((s.cancel_s - s.lease_s) * 0.85),
+        cancel_escalation_s((s.cancel_s - s.lease_s) * 0.5),
+        home_steady_s(s.lease_s * 1.5),
+        user_wait_s(4.0),
+        poll_wait_s(1.5) {}
+
+  // Grants survive two lost renewals; a dead controller's parts are free after a quarter of a worker lease.
+  double state_lease_s, renew_every_s;
+  double watch_hold_s;
+  double peer_every_s, peer_fresh_s;
+  // A worker speaks every 1.25 report_s at the latest: twice that is suspicious.
+  double probe_after_s, probe_every_s, direct_timeout_s;
+  double silence_limit_s, mass_silence_limit_s;
+  // Without the state service a cancellation may be acknowledged elsewhere: the
+  // lease of our workers has to lapse within cancel_s of that.
+  double blind_limit_s, cancel_escalation_s;
+  double home_steady_s;
+  double user_wait_s;  // the protocol gives a submission 5 s
+  double poll_wait_s;  // and a poll 2 s
+
+  // Shares of a node's part of state.rps.
+  static constexpr double kBudget = 0.9, kWatchShare = 0.35, kProofShare = 0.25, kTxnShare = 0.4;
+  static constexpr int kTxnsInFlight = 4;
+  static constexpr double kMassShare = 0.3;      // silent machines of a zone beyond this share point to the network
+  static constexpr double kBootPatience = 4;     // times readyS
+  static constexpr int kFaultyJobs = 2;          // different jobs failing on a machine in a row
+};
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/users.cpp
@@ -0,0 +1,171 @@
+#include "coordination/users.h"
+
+#include <algorithm>
+
+#include "coordination/placement.h"
+
+namespace rushtrestle::coordination {
+
+using store::JobKind;
+using store::JobRecord;
+using store::JobStatus;
+
+void Users::answer(RequestId r, int status, const std::string& id) {
+  AnswerUser a{r, status, std::nullopt, 0};
+  if (const auto* job = id.empty() ? nullptr : model_.job(id)) {
+    const auto& rec = job->record;
+    a.job = JobView{id, rec.status, rec.done.size(), rec.status == JobStatus::open ? rec.running() : 0};
+  }
+  ctx_.out.push_back(std::move(a));
+}
+
+void Users::refuse(RequestId r, double retry_after_s) {
+  ctx_.counters["refused"]++;
+  ctx_.out.push_back(AnswerUser{r, 503, std::nullopt, retry_after_s});
+}
+
+// A final state never changes, so even an old model tells it rightly.
+bool Users::answer_if_final(RequestId r, const std::string& id) {
+  const auto* job = model_.job(id);
+  if (!job || !job->record.final_state()) return false;
+  answer(r, 200, id);
+  return true;
+}
+
+bool Users::healthy() const {
+  if (!link_.synced()) return false;
+  // In an outage of all, answers (final states, refusals) are as good from here as from elsewhere.
+  return link_.lease_valid() || members_.outage_shared();
+}
+
+bool Users::can_ever_run(const store::JobSpec& s) const {
+  const auto team = std::find_if(ctx_.settings.teams.begin(), ctx_.settings.teams.end(),
+                                 [&](const auto& t) { return t.name == s.team; });
+  if (team == ctx_.settings.teams.end()) return false;
+  store::Resources need;
+  need.add(s.per_task, s.kind == JobKind::service ? s.tasks : 1);
+  if (need.cpus > team->limit.cpus + store::Resources::kSlack || need.gpus > team->limit.gpus + store::Resources::kSlack)
+    return false;
+  return std::any_of(model_.types().begin(), model_.types().end(), [&](const store::MachineType& t) {
+    return type_allowed(s, t.name) && s.per_task.fits(t.size) &&
+           (!s.zone || std::find(t.zones.begin(), t.zones.end(), *s.zone) != t.zones.end());
+  });
+}
+
+void Users::submit(SubmitJob&& s) {
+  ctx_.counters["submissions"]++;
+  const std::string id = s.spec.id;
+  if (answer_if_final(s.request, id)) return;
+  if (link_.in_doubt() || model_.types().empty()) return refuse(s.request, 1);
+  if (model_.job(id)) {
+    const RequestId r = s.request;
+    link_.prove([this, r, id](bool ok) { ok ? answer(r, 200, id) : refuse(r, 1); });
+    return;
+  }
+  if (!can_ever_run(s.spec)) {
+    // A node that lags must not refuse a job that another has accepted.
+    const RequestId r = s.request;
+    link_.prove([this, r, id](bool ok) {
+      if (!ok) return refuse(r, 1);
+      model_.job(id) ? answer(r, 200, id) : answer(r, 422);
+    });
+    return;
+  }
+  const double delay = link_.accept_delay();
+  if (delay > ctx_.tune.user_wait_s / 2) return refuse(s.request, delay);
+  pending_[s.request] = {Kind::submit, id, std::move(s.spec), ctx_.now + ctx_.tune.user_wait_s, ctx_.now};
+  write_submit(s.request);
+}
+
+void Users::write_submit(RequestId r) {
+  const std::string id = pending_.at(r).id;
+  WriteRequest w;
+  w.key = store::job_key(id);
+  w.prepare = [this, r, id](Prepared& p) {
+    const auto it = pending_.find(r);
+    if (it == pending_.end() || model_.job(id)) return false;
+    JobRecord record;
+    record.spec = it->second.spec;
+    record.submitted = ctx_.wall;
+    p.expected = 0;
+    p.value = to_json(record);
+    return true;
+  };
+  w.done = [this, r, id](WriteOutcome outcome, uint64_t) {
+    if (outcome == WriteOutcome::applied) return settle(r, 201);
+    // Known by now: accepted through another request of the same user.
+    if (outcome != WriteOutcome::refused && model_.job(id)) {
+      link_.prove([this, r](bool ok) { settle(r, ok ? 200 : 503); });
+      return;
+    }
+    settle(r, 503);
+  };
+  link_.write(std::move(w));
+}
+
+void Users::settle(RequestId r, int status) {
+  const auto node = pending_.extract(r);
+  if (node.empty()) return;
+  if (status == 503) {
+    refuse(r, 1);
+  } else {
+    answer(r, status, node.mapped().id);
+  }
+}
+
+void Users::query(const QueryJob& q) {
+  ctx_.counters["polls"]++;
+  if (answer_if_final(q.request, q.id)) return;
+  link_.prove([this, r = q.request, id = q.id](bool ok) {
+    if (!ok) return refuse(r, 1);
+    model_.job(id) ? answer(r, 200, id) : answer(r, 404);
+  });
+}
+
+void Users::cancel(const CancelJob& c) {
+  ctx_.counters["cancellations"]++;
+  if (answer_if_final(c.request, c.id)) return;
+  if (link_.in_doubt()) return refuse(c.request, 1);
+  if (!model_.job(c.id)) {
+    link_.prove([this, c](bool ok) {
+      if (!ok) return refuse(c.request, 1);
+      if (!model_.job(c.id)) return answer(c.request, 404);
+      cancel(c);
+    });
+    return;
+  }
+  pending_[c.request] = {Kind::cancel, c.id, {}, ctx_.now + ctx_.tune.user_wait_s, ctx_.now};
+  write_cancel(c.request);
+}
+
+void Users::write_cancel(RequestId r) {
+  const std::string id = pending_.at(r).id;
+  WriteRequest w;
+  w.key = store::job_key(id);
+  w.prepare = [this, r, id](Prepared& p) {
+    const auto* durable = model_.job(id);
+    if (!pending_.count(r) || !durable || durable->record.final_state()) return false;
+    JobRecord record = durable->record;
+    record.status = JobStatus::cancelled;
+    p.expected = durable->stamp;
+    p.value = to_json(record);
+    return true;
+  };
+  w.done = [this, r, id](WriteOutcome outcome, uint64_t) {
+    if (!pending_.count(r)) return;
+    const auto* durable = model_.job(id);
+    if (durable && durable->record.final_state()) return settle(r, 200);
+    if (outcome == WriteOutcome::conflict && !link_.in_doubt()) return write_cancel(r);
+    settle(r, 503);
+  };
+  link_.write(std::move(w));
+}
+
+void Users::tick() {
+  std::vector<RequestId> late;
+  for (const auto& [r, p] : pending_)
+    if (ctx_.now >= p.deadline || link_.in_doubt()) late.push_back(r);
+  for (const RequestId r : late) settle(r, 503);
+}
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/users.h
@@ -0,0 +1,45 @@
+// Submissions, polls and cancellations; any node serves any of them.
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coordination/membership.h"
+
+namespace rushtrestle::coordination {
+
+class Users {
+ public:
+  Users(Context& ctx, store::Model& model, StateLink& link, Membership& members)
+      : ctx_(ctx), model_(model), link_(link), members_(members) {}
+
+  void submit(SubmitJob&& s);
+  void query(const QueryJob& q);
+  void cancel(const CancelJob& c);
+  bool healthy() const;
+  void tick();
+
+ private:
+  enum class Kind { submit, cancel };
+  struct Pending {
+    Kind kind;
+    std::string id;
+    store::JobSpec spec;
+    double deadline, since;
+  };
+  void answer(RequestId r, int status, const std::string& id = "");
+  void refuse(RequestId r, double retry_after_s);
+  bool answer_if_final(RequestId r, const std::string& id);
+  bool can_ever_run(const store::JobSpec& s) const;
+  void write_submit(RequestId r);
+  void write_cancel(RequestId r);
+  void settle(RequestId r, int status);
+
+  Context& ctx_;
+  store::Model& model_;
+  StateLink& link_;
+  Membership& members_;
+  std::map<RequestId, Pending> pending_;
+};
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,78 @@
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "protocol/settings.h"
+#include "transport/node.h"
+
+namespace {
+
+constexpr int kBadSettings = 2;
+constexpr const char* kVersion = "rushtrestle " RUSHTRESTLE_VERSION;
+
+rushtrestle::coordination::LogLine::Level log_level() {
+  using Level = rushtrestle::coordination::LogLine::Level;
+  const char* text = std::getenv("LOG_LEVEL");
+  const std::string level = text ? text : "error";
+  if (level == "error") return Level::error;
+  if (level == "info") return Level::info;
+  if (level == "debug") return Level::debug;
+  throw rushtrestle::protocol::SettingsError("LOG_LEVEL: must be error, info or debug");
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"Schedules jobs of language model fleets on rented machines"};
+  std::string config, operators_file;
+  bool check_only = false;
+  app.add_option("--config", config, "the platform's settings file (TOML)")->required();
+  app.add_option("--operator-settings", operators_file, "the operators' own settings (S-expressions)");
+  app.add_flag("--check-config", check_only, "read the settings, say whether they are valid, and end");
+  app.set_version_flag("--version", kVersion);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : kBadSettings;
+  }
+  try {
+    using namespace rushtrestle;
+    const auto level = log_level();
+    const auto settings = protocol::read_settings(config);
+    const auto operators =
+        operators_file.empty() ? store::OperatorSettings{} : protocol::read_operator_settings(operators_file, settings);
+    for (const auto& [name, address] : {std::pair{"serve_on", settings.listen}, {"peer_listen", settings.peer_listen},
+                                        {"external.cloud", settings.cloud}, {"external.state", settings.state}}) {
+      try {
+        transport::parse_address(address);
+      } catch (const std::invalid_argument& e) {
+        throw protocol::SettingsError(std::string(name) + ": " + e.what());
+      }
+    }
+    if (check_only) {
+      std::cout << "settings are valid\n";
+      return 0;
+    }
+    auto logger = spdlog::stderr_logger_st("rushtrestle");
+    logger->set_level(level == coordination::LogLine::Level::error  ? spdlog::level::err
+                      : level == coordination::LogLine::Level::info ? spdlog::level::info
+                                                                    : spdlog::level::debug);
+    logger->set_pattern("%H:%M:%S.%e %l %v");
+    spdlog::set_default_logger(logger);
+    std::signal(SIGPIPE, SIG_IGN);
+    transport::Loop loop;
+    transport::Node node(loop, settings, operators, level);
+    loop.run();
+    return 0;
+  } catch (const rushtrestle::protocol::SettingsError& e) {
+    std::cerr << "rushtrestle: " << e.what() << "\n";
+    return kBadSettings;
+  } catch (const std::exception& e) {
+    std::cerr << "rushtrestle: " << e.what() << "\n";
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/store/model.h
@@ -0,0 +1,74 @@
+// The warm model: what the state service holds, as far as this node has heard.
+#pragma once
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "store/records.h"
+
+namespace rushtrestle::store {
+
+struct Change {
+  std::string key;
+  std::optional<Json> value;  // none: deleted
+  uint64_t stamp = 0;
+};
+
+template <class Record>
+struct Stamped {
+  Record record;
+  uint64_t stamp = 0;
+  std::string writer;  // marks the write, so that an unknown outcome can be told
+};
+
+struct Holder {
+  HolderRecord record;
+  uint64_t stamp = 0;
+  bool present = false;
+  std::string writer;
+};
+
+class Model {
+ public:
+  struct Listener {
+    virtual ~Listener() = default;
+    virtual void job_changed(const std::string& id) = 0;
+    virtual void machine_changed(const std::string& id) = 0;
+    virtual void holder_changed(const std::string& key) = 0;
+  };
+  explicit Model(Listener& listener) : listener_(listener) {}
+
+  /// Newer stamps win, so events, own writes and reads may arrive in any order.
+  /// A value that can't be read is passed over (false).
+  bool apply(const Change& change);
+  void reached(uint64_t revision) { revision_ = std::max(revision_, revision); }
+  uint64_t revision() const { return revision_; }
+
+  const Stamped<JobRecord>* job(const std::string& id) const;
+  const Stamped<MachineRecord>* machine(const std::string& id) const;
+  const Holder* holder(const std::string& key) const;
+  std::string writer_of(const std::string& key) const;
+  uint64_t stamp_of(const std::string& key) const;
+
+  const std::unordered_map<std::string, Stamped<JobRecord>>& jobs() const { return jobs_; }
+  const std::map<std::string, Stamped<MachineRecord>>& machines() const { return machines_; }
+  const std::vector<MachineType>& types() const { return types_; }
+  const MachineType* type(const std::string& name) const;
+  /// Jobs that are not over, or are over but still hold machines.
+  const std::set<std::string>& live_jobs() const { return live_; }
+
+ private:
+  Listener& listener_;
+  uint64_t revision_ = 0, types_stamp_ = 0;
+  std::unordered_map<std::string, Stamped<JobRecord>> jobs_;
+  std::map<std::string, Stamped<MachineRecord>> machines_;
+  std::map<std::string, Holder> holders_;
+  std::vector<MachineType> types_;
+  std::string types_writer_;
+  std::set<std::string> live_;
+};
+
+}  // namespace rushtrestle::store
--- /dev/null
+++ b/src/store/records.h
@@ -0,0 +1,100 @@
+// The records in the state service and their form there.
+#pragma once
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "store/domain.h"
+
+namespace rushtrestle::store {
+
+using Json = nlohmann::json;
+
+/// Task numbers that are done, as sorted runs: tasks start in order, so few holes appear
+/// and a job of 100,000 tasks still fits into one value.
+class TaskSet {
+ public:
+  bool contains(uint32_t task) const;
+  void insert(uint32_t task);
+  uint32_t size() const { return size_; }
+  /// The lowest task at or after `from` that is not in the set.
+  uint32_t first_missing(uint32_t from) const;
+  Json to_json() const;
+  static TaskSet from_json(const Json& j);
+  const std::map<uint32_t, uint32_t>& runs() const { return runs_; }
+
+ private:
+  std::map<uint32_t, uint32_t> runs_;  // first -> last
+  uint32_t size_ = 0;
+};
+
+struct Placement {
+  uint32_t task = 0;
+  std::string machine;
+  uint64_t attempt = 0;
+  bool running = false;   // reported running; for display and for last_start
+  bool stopping = false;  // an eviction was committed: stop it, then queue it again
+};
+
+struct JobRecord {
+  JobSpec spec;
+  JobStatus status = JobStatus::open;
+  double submitted = 0;   // time of day
+  double last_start = 0;  // time of day, rewritten at every start; 0: never started
+  double not_before = 0;  // cooldown after a committed requeue
+  uint64_t attempts = 0;  // attempts are numbered through the whole job
+  TaskSet done;
+  std::vector<Placement> placed;
+
+  bool final_state() const { return status != JobStatus::open; }
+  const Placement* placement_of(uint32_t task) const;
+  uint32_t running() const;
+};
+
+enum class MachinePhase {
+  assigned,   // belongs to its part
+  offered,    // the leader asks its owner for it: to release it, or to move it to `next_part`
+  released,   // empty, to be deleted; never left but for `gone`
+  condemned,  // not to be trusted, to be deleted; never left but for `gone`
+  gone        // the cloud confirmed the deletion
+};
+
+struct MachineRecord {
+  std::string id, address, type, zone;
+  bool spot = false;
+  int part = 0;
+  int next_part = -1;  // with `offered`: where it goes; -1: release
+  MachinePhase phase = MachinePhase::assigned;
+  double since = 0;  // time of day of renting or adoption
+
+  bool usable() const { return phase == MachinePhase::assigned; }
+  bool doomed() const {
+    return phase == MachinePhase::released || phase == MachinePhase::condemned || phase == MachinePhase::gone;
+  }
+};
+
+/// part/<i> and leader: who holds it.
+struct HolderRecord {
+  std::string node;
+  std::string incarnation;
+};
+
+Json to_json(const JobSpec& s);
+JobSpec job_spec_from_json(const Json& j);
+Json to_json(const JobRecord& r);
+JobRecord job_record_from_json(const Json& j);
+Json to_json(const MachineRecord& r);
+MachineRecord machine_record_from_json(const Json& j);
+Json to_json(const HolderRecord& r);
+HolderRecord holder_from_json(const Json& j);
+Json to_json(const std::vector<MachineType>& types);
+std::vector<MachineType> types_from_json(const Json& j);
+
+inline std::string job_key(const std::string& id) { return "job/" + id; }
+inline std::string machine_key(const std::string& id) { return "machine/" + id; }
+inline std::string part_key(int part) { return "part/" + std::to_string(part); }
+inline const std::string kLeaderKey = "leader";
+inline const std::string kTypesKey = "types";
+
+}  // namespace rushtrestle::store
--- /dev/null
+++ b/src/transport/loop.cpp
@@ -0,0 +1,89 @@
+#include "transport/loop.h"
+
+#include <sys/epoll.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <stdexcept>
+
+namespace rushtrestle::transport {
+
+Loop::Loop() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
+  if (epoll_ < 0) throw std::runtime_error("epoll_create1 failed");
+  refresh_clock();
+}
+
+Loop::~Loop() { close(epoll_); }
+
+void Loop::refresh_clock() {
+  timespec ts{};
+  clock_gettime(CLOCK_MONOTONIC, &ts);
+  now_ = static_cast<double>(ts.tv_sec) + static_cast<double>(ts.tv_nsec) * 1e-9;
+}
+
+void Loop::watch(int fd, uint32_t events, FdHandler handler) {
+  fds_[fd] = Watched{++generation_, std::move(handler)};
+  epoll_event ev{};
+  ev.events = events;
+  ev.data.u64 = (static_cast<uint64_t>(generation_) << 32) | static_cast<uint32_t>(fd);
+  epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &ev);
+}
+
+void Loop::change(int fd, uint32_t events) {
+  auto it = fds_.find(fd);
+  if (it == fds_.end()) return;
+  epoll_event ev{};
+  ev.events = events;
+  ev.data.u64 = (static_cast<uint64_t>(it->second.generation) << 32) | static_cast<uint32_t>(fd);
+  epoll_ctl(epoll_, EPOLL_CTL_MOD, fd, &ev);
+}
+
+void Loop::unwatch(int fd) {
+  if (fds_.erase(fd) != 0) epoll_ctl(epoll_, EPOLL_CTL_DEL, fd, nullptr);
+}
+
+Loop::TimerId Loop::after(double seconds, std::function<void()> fn) {
+  const TimerId id = next_timer_++;
+  const double at = now_ + std::max(0.0, seconds);
+  timers_.emplace(std::make_pair(at, id), std::move(fn));
+  due_[id] = at;
+  return id;
+}
+
+void Loop::cancel(TimerId id) {
+  auto it = due_.find(id);
+  if (it == due_.end()) return;
+  timers_.erase({it->second, id});
+  due_.erase(it);
+}
+
+void Loop::run() {
+  std::array<epoll_event, 128> events{};
+  while (running_) {
+    int wait_ms = -1;
+    if (!timers_.empty()) {
+      const double left = timers_.begin()->first.first - now_;
+      wait_ms = left <= 0 ? 0 : static_cast<int>(std::min(60000.0, std::ceil(left * 1000.0)));
+    }
+    const int n = epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), wait_ms);
+    refresh_clock();
+    for (int i = 0; i < n; ++i) {
+      const int fd = static_cast<int>(events[i].data.u64 & 0xffffffffU);
+      auto it = fds_.find(fd);
+      if (it == fds_.end() || it->second.generation != events[i].data.u64 >> 32) continue;
+      auto handler = it->second.handler;  // a copy: the handler may unwatch itself
+      handler(events[i].events);
+    }
+    while (!timers_.empty() && timers_.begin()->first.first <= now_) {
+      auto node = timers_.extract(timers_.begin());
+      due_.erase(node.key().second);
+      node.mapped()();
+    }
+    if (turn_) turn_();
+  }
+}
+
+}  // namespace rushtrestle::transport
--- /dev/null
+++ b/src/transport/loop.h
@@ -0,0 +1,55 @@
+// The event loop: epoll for sockets, a heap of timers, nothing else.
+#pragma once
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <unordered_map>
+
+namespace rushtrestle::transport {
+
+class Loop {
+ public:
+  using FdHandler = std::function<void(uint32_t events)>;
+  using TimerId = uint64_t;
+
+  Loop();
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  void watch(int fd, uint32_t events, FdHandler handler);
+  void change(int fd, uint32_t events);
+  void unwatch(int fd);
+
+  TimerId after(double seconds, std::function<void()> fn);
+  void cancel(TimerId id);
+
+  /// Called once per turn, after every ready socket and due timer was served:
+  /// the owner of the state works off its queue of commands there, in one batch.
+  void each_turn(std::function<void()> fn) { turn_ = std::move(fn); }
+
+  void run();
+  void stop() { running_ = false; }
+  double now() const { return now_; }
+
+ private:
+  void refresh_clock();
+
+  int epoll_ = -1;
+  bool running_ = true;
+  double now_ = 0;
+  TimerId next_timer_ = 1;
+  std::map<std::pair<double, TimerId>, std::function<void()>> timers_;
+  std::unordered_map<TimerId, double> due_;
+  // A handler may close other sockets of the same batch; the generation tells
+  // an event of a closed socket from one of a new socket with the same number.
+  struct Watched {
+    uint32_t generation;
+    std::function<void(uint32_t)> handler;
+  };
+  std::unordered_map<int, Watched> fds_;
+  uint32_t generation_ = 0;
+  std::function<void()> turn_;
+};
+
+}  // namespace rushtrestle::transport
--- /dev/null
+++ b/src/transport/node.h
@@ -0,0 +1,37 @@
+// One controller: sockets around the core. Requests become commands, effects become
+// answers and calls.
+#pragma once
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "coordination/core.h"
+#include "protocol/codec.h"
+#include "transport/http.h"
+
+namespace rushtrestle::transport {
+
+class Node {
+ public:
+  Node(Loop& loop, const store::Settings& settings, const store::OperatorSettings& operators,
+       coordination::LogLine::Level log_level);
+
+ private:
+  void from_users(ExchangeId id, Message&& m);
+  void from_peers(ExchangeId id, Message&& m);
+  void turn();
+  void carry_out(coordination::Effect&& effect);
+  void call(const coordination::Call& c);
+  void answer(HttpServer& server, ExchangeId id, const protocol::HttpAnswer& a);
+  void schedule_tick();
+
+  Loop& loop_;
+  coordination::Core core_;
+  Address state_, cloud_;
+  HttpClient client_;
+  std::unique_ptr<HttpServer> users_, peers_;
+  std::deque<coordination::Command> commands_;
+};
+
+}  // namespace rushtrestle::transport
