--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "coordination/requeue.h"
+
 namespace rushtrestle::coordination {
 
 using store::JobKind;
@@ -174,7 +176,9 @@
 // ---- placements and their records ----
 
 void Owner::place(OwnedJob& j, uint32_t task, const std::string& machine_id) {
-  j.cur.placed.push_back(Placement{task, machine_id, ++j.cur.attempts, false, false});
+  // The tasks of a gang start together, as one attempt.
+  if (j.cur.spec.kind != JobKind::gang || j.cur.placed.empty()) ++j.cur.attempts;
+  j.cur.placed.push_back(Placement{task, machine_id, j.cur.attempts, false, false});
   index(j.cur, j.cur.placed.back(), 1);
 }
 
@@ -339,7 +343,7 @@
   unplace(j, t.task);
   switch (t.cause) {
     case ExitCause::done:
-      if (j.cur.spec.kind == JobKind::array) j.cur.done.insert(t.task);
+      if (j.cur.spec.kind != JobKind::service) j.cur.done.insert(t.task);
       m.failed_jobs.clear();
       break;
     case ExitCause::error:
@@ -367,7 +371,7 @@
     case ExitCause::stopped:
     case ExitCause::none: break;
   }
-  if (j.cur.status == JobStatus::open && j.cur.spec.kind == JobKind::array && j.cur.done.size() == j.cur.spec.tasks)
+  if (j.cur.status == JobStatus::open && j.cur.spec.kind != JobKind::service && j.cur.done.size() == j.cur.spec.tasks)
     j.cur.status = JobStatus::done;
   mark(id, 1);
 }
@@ -668,6 +672,7 @@
 }
 
 bool Owner::place_some(const std::string& id, OwnedJob& j, std::vector<Slot>& slots) {
+  if (j.cur.spec.kind == JobKind::gang && (!j.cur.placed.empty() || !fits_whole(j, slots, nullptr))) return false;
   ZoneCounts zones = zones_of(j.cur);
   const Fit fit = fit_for(j);
   uint32_t room = placement_room(j.cur);
@@ -756,21 +761,6 @@
 
 // ---- the design's path: nominate, try, commit or roll back ----
 
-std::string Owner::skip_reason(const OwnedJob& j) const {
-  const auto& r = j.cur;
-  const auto& ranks = ctx_.operators.preemptible;
-  if (r.running() == 0) return "not_running";
-  if (std::find(ranks.begin(), ranks.end(), r.spec.rank) == ranks.end()) return "not_preemptible";
-  if (!(r.spec.estimate_s > 0)) return "invalid_duration";
-  if (r.last_start <= 0) return "missing_start";
-  // Two nodes' clocks may differ by twice the bound; only more than that is a skew.
-  if (ctx_.wall < r.last_start - 2 * ctx_.settings.clock_error_s) return "clock_skew";
-  if (ctx_.wall - r.last_start < r.spec.estimate_s) return "not_due";
-  if (!std::isfinite(r.not_before) || r.not_before < 0) return "invalid_not_before";
-  if (ctx_.wall < r.not_before) return "cooldown";
-  return "";
-}
-
 bool Owner::fits_whole(const OwnedJob& contender, std::vector<Slot> picture,
                        std::vector<std::pair<std::string, store::Resources>>* used) const {
   ZoneCounts zones = zones_of(contender.cur);
@@ -794,7 +784,8 @@
   std::vector<std::string> candidates;
   for (const auto& [id, j] : jobs_) {
     if (j.part != part || j.cur.status != JobStatus::open) continue;
-    const std::string reason = skip_reason(j);
+    const std::string reason =
+        nomination_skip_reason(j.cur, ctx_.wall, ctx_.operators, ctx_.settings.clock_error_s);
     if (reason.empty()) {
       ctx_.counters["requeue_nominations_total"]++;
       candidates.push_back(id);
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -97,7 +97,6 @@
   bool place_some(const std::string& id, OwnedJob& j, std::vector<Slot>& slots);
   std::vector<std::string> waiting(int part) const;
   void scan(int part);
-  std::string skip_reason(const OwnedJob& j) const;
   bool fits_whole(const OwnedJob& contender, std::vector<Slot> picture, std::vector<std::pair<std::string, store::Resources>>* used) const;
 
   Context& ctx_;
--- a/src/coordination/users.cpp
+++ b/src/coordination/users.cpp
@@ -43,7 +43,7 @@
                                  [&](const auto& t) { return t.name == s.team; });
   if (team == ctx_.settings.teams.end()) return false;
   store::Resources need;
-  need.add(s.per_task, s.kind == JobKind::service ? s.tasks : 1);
+  need.add(s.per_task, s.kind == JobKind::array ? 1 : s.tasks);
   if (need.cpus > team->limit.cpus + store::Resources::kSlack || need.gpus > team->limit.gpus + store::Resources::kSlack)
     return false;
   return std::any_of(model_.types().begin(), model_.types().end(), [&](const store::MachineType& t) {
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -100,7 +100,7 @@
 }
 
 TaskState task_state(const std::string& s) {
-  if (s == "pulling") return TaskState::fetching;
+  if (s == "pulling" || s == "gathering") return TaskState::fetching;  // not running yet
   if (s == "running") return TaskState::running;
   if (s == "saving") return TaskState::saving;
   if (s == "ended") return TaskState::exited;
@@ -113,6 +113,8 @@
   if (s == "full") return ExitCause::no_room;
   if (s == "in_use") return ExitCause::busy;
   if (s == "no_such") return ExitCause::unknown;
+  // A gang's task that ended because of its peers did not fail by itself.
+  if (s == "peers" || s == "incomplete") return ExitCause::stopped;
   return ExitCause::error;  // `error`, and any cause that a later version may bring
 }
 
@@ -256,8 +258,12 @@
     s.job_class = f.text("berth");
     s.team = f.text("crew");
     const std::string kind = f.text("sort"), rank = f.text("rank");
-    if (kind != "array" && kind != "daemon") throw Invalid{};
-    s.kind = kind == "array" ? store::JobKind::array : store::JobKind::service;
+    // `group` stands in the platform's word list, though not on its protocol page:
+    // tasks that run together (docs/questions.md).
+    if (kind != "array" && kind != "daemon" && kind != "group") throw Invalid{};
+    s.kind = kind == "array"    ? store::JobKind::array
+             : kind == "daemon" ? store::JobKind::service
+                                : store::JobKind::gang;
     static constexpr const char* kRanks[] = {"idle", "normal", "urgent", "prod"};
     const auto* r = std::find(std::begin(kRanks), std::end(kRanks), rank);
     if (r == std::end(kRanks)) throw Invalid{};
--- a/src/store/domain.h
+++ b/src/store/domain.h
@@ -21,7 +21,7 @@
   }
 };
 
-enum class JobKind { array, service };
+enum class JobKind { array, service, gang };
 enum class Rank { low, normal, high, production };
 enum class JobStatus { open, cancelled, done };
 
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -75,7 +75,7 @@
   Json j = {{"id", s.id},          {"class", s.job_class},     {"team", s.team},
             {"tasks", s.tasks},    {"cpus", s.per_task.cpus},  {"mem", s.per_task.memory_gb},
             {"image", s.image},    {"gb", s.image_gb},         {"rank", static_cast<int>(s.rank)}};
-  if (s.kind == JobKind::service) j["service"] = true;
+  if (s.kind != JobKind::array) j["kind"] = static_cast<int>(s.kind);
   if (s.per_task.gpus > 0) j["gpus"] = s.per_task.gpus;
   if (s.types) j["types"] = *s.types;
   if (s.zone) j["zone"] = *s.zone;
@@ -94,7 +94,7 @@
   s.id = j.at("id").get<std::string>();
   s.job_class = j.at("class").get<std::string>();
   s.team = j.at("team").get<std::string>();
-  s.kind = get_or(j, "service", false) ? JobKind::service : JobKind::array;
+  s.kind = static_cast<JobKind>(get_or(j, "kind", 0));
   s.rank = static_cast<Rank>(j.at("rank").get<int>());
   s.tasks = j.at("tasks").get<uint32_t>();
   s.per_task = {j.at("cpus").get<double>(), get_or(j, "gpus", 0.0), j.at("mem").get<double>()};
