--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -221,17 +221,18 @@
   });
 }
 
-void Leader::offer(const std::string& machine, int next_part) {
+void Leader::offer(const std::string& machine, int next_part, bool drain) {
   offered_at_[machine] = ctx_.now;
   WriteRequest w;
   w.key = store::machine_key(machine);
   w.priority = 1;
-  w.prepare = [this, machine, next_part](Prepared& p) {
+  w.prepare = [this, machine, next_part, drain](Prepared& p) {
     const auto* m = model_.machine(machine);
     if (!m || !m->record.usable() || !members_.leading()) return false;
     MachineRecord r = m->record;
     r.phase = MachinePhase::offered;
     r.next_part = next_part;
+    r.drain = drain;
     p.expected = m->stamp;
     p.value = to_json(r);
     p.conditions.push_back({store::kLeaderKey, members_.lead_stamp()});
@@ -244,7 +245,7 @@
 // ---- what is needed ----
 
 bool Leader::rent_slot(const store::JobSpec& spec, const ZoneCounts& zones, int part, std::vector<Slot>& slots, bool urgent,
-                       std::vector<Want>& wants) {
+                       bool with_gpus, bool spot_only, std::vector<Want>& wants) {
   const store::MachineType* best = nullptr;
   Key best_key;
   double best_cost = 0;
@@ -252,12 +253,11 @@
     if (!type_allowed(spec, t.name)) continue;
     const int n = capacity_for(spec, t);
     if (n <= 0) continue;
-    // Machines with GPUs are for work that takes some.
-    if (spec.per_task.gpus == 0 && t.size.gpus > 0) continue;
+    if (spec.per_task.gpus == 0 && (t.size.gpus > 0) != with_gpus) continue;
     for (const auto& zone : t.zones) {
       if (!zone_allowed(spec, zone, zones)) continue;
       for (const bool spot : {false, true}) {
-        if (!kind_allowed(spec, spot)) continue;
+        if (!kind_allowed(spec, spot) || (spot_only && !spot)) continue;
         const Key key{t.name, zone, spot};
         const auto r = refused_.find(key);
         if (r != refused_.end() && ctx_.now < r->second.until) continue;
@@ -290,9 +290,73 @@
   return true;
 }
 
-void Leader::plan_part(int part, std::vector<Want>& wants, std::vector<std::string>& unused) {
+bool Leader::preemptible(const store::JobSpec& spec) const {
+  const auto& ranks = ctx_.operators.preemptible;
+  return std::find(ranks.begin(), ranks.end(), spec.rank) != ranks.end();
+}
+
+// Exception to the design, which moves free machines only: where nothing is free and nothing can be
+// rented, a part whose teams run beyond their guarantees gives up machines that hold only work that
+// may be stopped. Cause and figures: docs/design.md.
+void Leader::reclaim(const std::vector<Unmet>& unmet) {
+  if (unmet.empty() || !ctx_.operators.reclaim_guarantee) return;
+  struct Load {
+    int tasks = 0;
+    bool pinned = false;
+  };
+  std::map<std::string, Load> loads;
+  std::map<std::string, store::Resources> used;
+  for (const auto& id : model_.live_jobs()) {
+    const auto& r = model_.job(id)->record;
+    for (const auto& p : r.placed) {
+      auto& load = loads[p.machine];
+      ++load.tasks;
+      load.pinned |= !preemptible(r.spec);
+      used[r.spec.team].add(r.spec.per_task);
+    }
+  }
+  std::set<int> lenders;
+  for (const auto& t : ctx_.settings.teams)
+    if (used[t.name].cpus > t.guarantee.cpus + store::Resources::kSlack || used[t.name].gpus > t.guarantee.gpus + store::Resources::kSlack)
+      lenders.insert(members_.part_of_team(t.name));
+  // What is already on its way counts, and only a few go at a time: the next plan sees the effect.
+  std::map<int, int> coming;
+  for (const auto& [id, m] : model_.machines())
+    if (m.record.phase == MachinePhase::offered && m.record.next_part >= 0) coming[m.record.next_part]++;
+  constexpr int kAtOnce = 2;
+  std::set<std::string> taken;
+  for (const auto& u : unmet) {
+    if (coming[u.part] >= kAtOnce) continue;
+    const store::Stamped<MachineRecord>* best = nullptr;
+    int fewest = 0;
+    for (const auto& [id, m] : model_.machines()) {
+      const auto* type = model_.type(m.record.type);
+      if (!type || !m.record.usable() || m.record.part == u.part || !lenders.count(m.record.part) || taken.count(id) ||
+          m.record.address.empty() || !type_allowed(u.spec, m.record.type) || !kind_allowed(u.spec, m.record.spot) ||
+          !zone_allowed(u.spec, m.record.zone, u.zones) || capacity_for(u.spec, *type) <= 0)
+        continue;
+      const auto load = loads.find(id);
+      if (load != loads.end() && load->second.pinned) continue;
+      const int tasks = load == loads.end() ? 0 : load->second.tasks;
+      if (!best || tasks < fewest) {
+        best = &m;
+        fewest = tasks;
+      }
+    }
+    if (!best) continue;
+    taken.insert(best->record.id);
+    ++coming[u.part];
+    ctx_.counters["guarantee_reclaims"]++;
+    ctx_.info("machine " + best->record.id + " with " + std::to_string(fewest) + " tasks goes back to part " +
+              std::to_string(u.part) + ", whose team " + u.spec.team + " is within its guarantee");
+    offer(best->record.id, u.part, true);
+  }
+}
+
+void Leader::plan_part(int part, std::vector<Want>& wants, std::vector<std::string>& unused, std::vector<Unmet>& unmet) {
   std::vector<Slot> slots;
   std::map<std::string, store::Resources> used;
+  std::set<std::string> pinned;
   std::map<std::string, store::Resources> team_used;
   std::vector<const store::JobRecord*> jobs;
   double cpu_per_gpu = 0;
@@ -301,6 +365,7 @@
     if (members_.part_of_team(r.spec.team) != part) continue;
     for (const auto& p : r.placed) {
       used[p.machine].add(r.spec.per_task);
+      if (!preemptible(r.spec)) pinned.insert(p.machine);
       team_used[r.spec.team].add(r.spec.per_task);
     }
     if (r.spec.per_task.gpus > 0) cpu_per_gpu = std::max(cpu_per_gpu, r.spec.per_task.cpus / r.spec.per_task.gpus);
@@ -314,6 +379,7 @@
     if (it != used.end()) {
       s.free.add(it->second, -1);
       s.empty = false;
+      s.pinned = pinned.count(m.id) != 0;
     }
     slots.push_back(std::move(s));
   };
@@ -337,37 +403,73 @@
   });
   Fit fit;
   fit.cpu_per_gpu = cpu_per_gpu;
-  const auto limit_of = [&](const std::string& team) {
+  const auto settings_of = [&](const std::string& team) {
     for (const auto& t : ctx_.settings.teams)
-      if (t.name == team) return t.limit;
-    return store::Resources{};
+      if (t.name == team) return t;
+    return store::TeamSettings{};
   };
-  const auto put = [&](const store::JobSpec& spec, ZoneCounts& zones, bool urgent) {
+  const auto put = [&](const store::JobSpec& spec, ZoneCounts& zones, bool urgent, bool spot_only) {
+    fit.spot_only = spot_only;
     auto& team = team_used[spec.team];
-    const auto limit = limit_of(spec.team);
+    const auto settings = settings_of(spec.team);
+    const auto& limit = settings.limit;
     if (team.cpus + spec.per_task.cpus > limit.cpus + store::Resources::kSlack ||
         team.gpus + spec.per_task.gpus > limit.gpus + store::Resources::kSlack)
       return false;
+    // Work without GPUs takes what is beside them, then machines without, then what free GPUs
+    // would need, and machines with GPUs only where nothing else is to be had.
     Slot* s = pick(spec, zones, slots, fit);
-    if (!s) {
-      if (!rent_slot(spec, zones, part, slots, urgent, wants)) return false;
-      s = &slots.back();
-    } else {
+    const bool rented = !s && rent_slot(spec, zones, part, slots, urgent, false, spot_only, wants);
+    if (!s && !rented && spec.per_task.gpus == 0) {
+      Fit any = fit;
+      any.strand_gpus = true;
+      s = pick(spec, zones, slots, any);
+    }
+    if (s) {
       s->free.add(spec.per_task, -1);
+    } else {
+      if (!rented && !(spec.per_task.gpus == 0 && rent_slot(spec, zones, part, slots, urgent, true, spot_only, wants))) {
+        if (urgent && !spot_only && team.cpus + spec.per_task.cpus <= settings.guarantee.cpus + store::Resources::kSlack &&
+            team.gpus + spec.per_task.gpus <= settings.guarantee.gpus + store::Resources::kSlack)
+          unmet.push_back({part, spec, zones});
+        return false;
+      }
+      s = &slots.back();
     }
     s->empty = false;
     zones[*s->zone]++;
     team.add(spec.per_task);
     return true;
   };
+  if (ctx_.logs(LogLine::Level::info) && ctx_.now >= next_share_) {
+    // One line a part and sharing period: enough to see who waits for what, and whether machines are there.
+    store::Resources free, waiting;
+    for (const auto& s : slots) free.add(s.free);
+    std::map<std::string, int> classes;
+    for (const auto* r : jobs) {
+      const double tasks = r->spec.tasks - r->done.size() - static_cast<double>(r->placed.size());
+      waiting.add(r->spec.per_task, tasks);
+      classes[r->spec.job_class] += static_cast<int>(tasks);
+    }
+    std::string text = "part " + std::to_string(part) + ": " + std::to_string(slots.size()) + " machines, free " +
+                       std::to_string(static_cast<int>(free.cpus)) + " cpus " + std::to_string(static_cast<int>(free.gpus)) +
+                       " gpus; waiting " + std::to_string(static_cast<int>(waiting.cpus)) + " cpus " +
+                       std::to_string(static_cast<int>(waiting.gpus)) + " gpus";
+    for (const auto& [name, n] : classes) text += ", " + name + " " + std::to_string(n);
+    for (const auto& [name, u] : team_used)
+      if (team_used.size() < 4) text += "; " + name + " uses " + std::to_string(static_cast<int>(u.cpus)) + " cpus " +
+              std::to_string(static_cast<int>(u.gpus)) + " gpus";
+    ctx_.info(std::move(text));
+  }
   constexpr uint32_t kMostTasks = 400;  // of one job in one plan: more machines than that come in steps
   for (const auto* r : jobs) {
     ZoneCounts zones;
     for (const auto& p : r->placed)
       if (const auto* m = model_.machine(p.machine)) zones[m->record.zone]++;
     const uint32_t need = std::min<uint32_t>(kMostTasks, r->spec.tasks - r->done.size() - static_cast<uint32_t>(r->placed.size()));
+    const bool waits = can_wait_for_spot(*r, ctx_.settings, ctx_.wall);
     for (uint32_t i = 0; i < need; ++i)
-      if (!put(r->spec, zones, true)) break;
+      if (!put(r->spec, zones, true, waits)) break;
   }
   // Spare room: what arrives while a machine boots, by the arrivals of late, plus one deviation.
   double boot = 0;
@@ -383,7 +485,7 @@
     for (int i = 0; i < spare; ++i) {
       ZoneCounts zones;
       for (uint32_t t = 0; t < shape.tasks; ++t)
-        if (!put(shape, zones, false)) break;
+        if (!put(shape, zones, false, shape.spot)) break;
     }
   }
   for (size_t i = 0; i < real; ++i)
@@ -394,7 +496,8 @@
 void Leader::plan() {
   std::vector<Want> wants;
   std::vector<std::string> unused;
-  for (int part = 0; part < members_.parts(); ++part) plan_part(part, wants, unused);
+  std::vector<Unmet> unmet;
+  for (int part = 0; part < members_.parts(); ++part) plan_part(part, wants, unused, unmet);
 
   // The design's sharing: free machines go from parts that don't need them to parts that wait.
   if (ctx_.now >= next_share_) {
@@ -419,6 +522,7 @@
       }
     }
   }
+  reclaim(unmet);
   for (const bool urgent : {true, false})
     for (const auto& w : wants) {
       // Machines that another part does not need are shared, not rented anew.
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -46,19 +46,28 @@
     int urgent = 0, spare = 0;
   };
 
+  // Work within its team's guarantee for which there is neither room nor anything to rent.
+  struct Unmet {
+    int part;
+    store::JobSpec spec;
+    ZoneCounts zones;
+  };
+
   void reset();
   void fetch_types();
   void list(std::string after);
   void listed(const std::vector<CloudMachine>& machines);
   void delete_doomed();
   void plan();
-  void plan_part(int part, std::vector<Want>& wants, std::vector<std::string>& unused);
+  void plan_part(int part, std::vector<Want>& wants, std::vector<std::string>& unused, std::vector<Unmet>& unmet);
+  void reclaim(const std::vector<Unmet>& unmet);
   bool rent_slot(const store::JobSpec& spec, const ZoneCounts& zones, int part, std::vector<Slot>& slots, bool urgent,
-                 std::vector<Want>& wants);
+                 bool with_gpus, bool spot_only, std::vector<Want>& wants);
   void start_rental(const Want& want, int count);
   void send_rental(size_t i);
   void record_machine(const store::MachineRecord& r);
-  void offer(const std::string& machine, int next_part);
+  void offer(const std::string& machine, int next_part, bool drain = false);
+  bool preemptible(const store::JobSpec& spec) const;
   bool cloud_ready();
 
   Context& ctx_;
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -65,6 +65,7 @@
   team_used_[r.spec.team].add(r.spec.per_task, sign);
   if (Machine* m = machine(p.machine)) {
     m->used.add(r.spec.per_task, sign);
+    if (!preemptible(r)) m->pinned += sign > 0 ? 1 : -1;
     if (sign > 0) {
       m->placed[{r.spec.id, p.task}] = p.attempt;
     } else {
@@ -74,6 +75,11 @@
   }
 }
 
+bool Owner::preemptible(const JobRecord& r) const {
+  const auto& ranks = ctx_.operators.preemptible;
+  return std::find(ranks.begin(), ranks.end(), r.spec.rank) != ranks.end();
+}
+
 void Owner::adopt_job(const std::string& id, const JobRecord& record) {
   OwnedJob& j = jobs_[id];
   j.cur = record;
@@ -151,6 +157,7 @@
         if (p.machine == id) {
           m->placed[{job_id, p.task}] = p.attempt;
           m->used.add(j.cur.spec.per_task, 1);
+          if (!preemptible(j.cur)) ++m->pinned;
         }
     m->wanted = true;
   }
@@ -537,9 +544,23 @@
   const auto* record = model_.machine(m.id);
   if (!record || record->record.phase != MachinePhase::offered) return;
   const bool empty = m.placed.empty();
+  if (!empty && record->record.drain && m.pinned == 0) {
+    // The leader takes it back for a team within its guarantee: what runs here is stopped, saved and queued again.
+    std::set<std::string> changed;
+    for (const auto& [key, attempt] : m.placed)
+      if (OwnedJob* j = job(key.first))
+        for (auto& p : j->cur.placed)
+          if (p.task == key.second && !p.stopping) {
+            p.stopping = true;
+            changed.insert(key.first);
+          }
+    for (const auto& id : changed) mark(id, 0);
+    return;
+  }
   write_machine(m.id, 1, [this, empty, id = m.id](MachineRecord& r) {
     if (r.phase != MachinePhase::offered) return false;
     const Machine* mine = machine(id);
+    r.drain = false;
     if (empty && mine && mine->placed.empty()) {
       if (r.next_part < 0) {
         r.phase = MachinePhase::released;
@@ -616,7 +637,7 @@
     free.add(m.used, -1);
     for (const auto& p : promises_)
       if (p.machine == id) free.add(p.room, -1);
-    out.push_back({id, type, &record->record.zone, record->record.spot, free, m.placed.empty()});
+    out.push_back({id, type, &record->record.zone, record->record.spot, free, m.placed.empty(), m.pinned > 0});
   }
   return out;
 }
@@ -628,7 +649,19 @@
   return zones;
 }
 
-Fit Owner::fit_for(const OwnedJob& j) const { return {cpu_per_gpu_, &images_, &j.avoid}; }
+Fit Owner::fit_for(const OwnedJob& j) const {
+  return {cpu_per_gpu_, &images_, &j.avoid, false, can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall)};
+}
+
+// CPUs beside free GPUs are kept for work with GPUs only as long as there are others:
+// where CPUs are what is short, an idle GPU costs less than a service that is down.
+Slot* Owner::pick_for(const OwnedJob& j, const ZoneCounts& zones, std::vector<Slot>& slots) const {
+  Fit fit = fit_for(j);
+  Slot* slot = pick(j.cur.spec, zones, slots, fit);
+  if (slot || j.cur.spec.per_task.gpus > 0) return slot;
+  fit.strand_gpus = true;
+  return pick(j.cur.spec, zones, slots, fit);
+}
 
 bool Owner::within_limit(const std::string& team, const store::Resources& more) const {
   for (const auto& t : ctx_.settings.teams) {
@@ -674,12 +707,11 @@
 bool Owner::place_some(const std::string& id, OwnedJob& j, std::vector<Slot>& slots) {
   if (j.cur.spec.kind == JobKind::gang && (!j.cur.placed.empty() || !fits_whole(j, slots, nullptr))) return false;
   ZoneCounts zones = zones_of(j.cur);
-  const Fit fit = fit_for(j);
   uint32_t room = placement_room(j.cur);
   bool any = false;
   for (uint32_t t = next_pending(j.cur, 0); t < j.cur.spec.tasks && room > 0; t = next_pending(j.cur, t + 1)) {
     if (!within_limit(j.cur.spec.team, j.cur.spec.per_task)) break;
-    Slot* slot = pick(j.cur.spec, zones, slots, fit);
+    Slot* slot = pick_for(j, zones, slots);
     if (!slot) break;
     place(j, t, slot->machine);
     slot->free.add(j.cur.spec.per_task, -1);
@@ -732,7 +764,7 @@
     std::string shape;
     if (j.cur.placed.empty() && j.avoid.empty()) {
       shape = s.job_class + "|" + s.team + "|" + std::to_string(s.per_task.cpus) + "|" + std::to_string(s.per_task.gpus) + "|" +
-              std::to_string(s.per_task.memory_gb) + "|" + (s.spot ? "s" : "") + (s.zone ? *s.zone : "");
+              std::to_string(s.per_task.memory_gb) + "|" + (!s.spot ? "" : can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall) ? "w" : "s") + (s.zone ? *s.zone : "");
       if (s.types)
         for (const auto& t : *s.types) shape += "|" + t;
       if (hopeless.count(shape)) continue;
@@ -764,13 +796,12 @@
 bool Owner::fits_whole(const OwnedJob& contender, std::vector<Slot> picture,
                        std::vector<std::pair<std::string, store::Resources>>* used) const {
   ZoneCounts zones = zones_of(contender.cur);
-  const Fit fit = fit_for(contender);
   const uint32_t need = contender.cur.spec.tasks - contender.cur.done.size() - static_cast<uint32_t>(contender.cur.placed.size());
   store::Resources more;
   for (uint32_t i = 0; i < need; ++i) {
     more.add(contender.cur.spec.per_task);
     if (!within_limit(contender.cur.spec.team, more)) return false;
-    Slot* slot = pick(contender.cur.spec, zones, picture, fit);
+    Slot* slot = pick_for(contender, zones, picture);
     if (!slot) return false;
     slot->free.add(contender.cur.spec.per_task, -1);
     zones[*slot->zone]++;
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -56,6 +56,7 @@
     std::set<std::string> failed_jobs;
     bool quarantined = false;
     std::map<TaskKey, uint64_t> placed;  // attempt by task
+    int pinned = 0;                      // of these, not preemptible
     store::Resources used;
   };
 
@@ -63,6 +64,7 @@
   Machine* machine(const std::string& id);
   uint64_t token(const Machine& m) const;
   int machine_part(const std::string& id) const;
+  bool preemptible(const store::JobRecord& r) const;
   bool can_act() const { return link_.lease_valid() && !link_.in_doubt(); }
 
   // bookkeeping
@@ -89,6 +91,7 @@
   // scheduling
   std::vector<Slot> slots(int part) const;
   Fit fit_for(const OwnedJob& j) const;
+  Slot* pick_for(const OwnedJob& j, const ZoneCounts& zones, std::vector<Slot>& slots) const;
   ZoneCounts zones_of(const store::JobRecord& r) const;
   bool within_limit(const std::string& team, const store::Resources& more) const;
   uint32_t placement_room(const store::JobRecord& r) const;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -59,6 +59,17 @@
   return static_cast<int>(n);
 }
 
+bool can_wait_for_spot(const store::JobRecord& r, const store::Settings& settings, double wall) {
+  const auto& s = r.spec;
+  if (!s.spot) return false;
+  double due = 3 * s.estimate_s;
+  for (const auto& o : settings.objectives)
+    if (o.job_class == s.job_class && o.within_s > 0 && o.kind != "wait") due = o.within_s;
+  if (s.deadline_s) due = *s.deadline_s;
+  // Guesses are often wrong by half.
+  return wall < r.submitted + (due - 1.5 * s.estimate_s) / 2;
+}
+
 Slot* pick(const JobSpec& spec, const ZoneCounts& placed, std::vector<Slot>& slots, const Fit& fit) {
   Slot* best = nullptr;
   double best_score = 0;
@@ -66,10 +77,11 @@
     if (!spec.per_task.fits(slot.free) || !type_allowed(spec, slot.type->name) || !kind_allowed(spec, slot.spot) ||
         !zone_allowed(spec, *slot.zone, placed))
       continue;
+    if (fit.spot_only && !slot.spot) continue;
     if (fit.avoid && fit.avoid->count(slot.machine)) continue;
     const auto& size = slot.type->size;
     // CPUs beside free GPUs are theirs: a task without GPUs must not strand them.
-    if (spec.per_task.gpus == 0 && size.gpus > 0 &&
+    if (!fit.strand_gpus && spec.per_task.gpus == 0 && size.gpus > 0 &&
         slot.free.cpus - spec.per_task.cpus + store::Resources::kSlack < slot.free.gpus * fit.cpu_per_gpu)
       continue;
     // In seconds: fetches dominate starts. Work that may use spot machines leaves the others free;
@@ -83,6 +95,9 @@
                                                                       : 0;
     score += 3 * free_share;
     if (slot.empty) score += 3;
+    // Short work stays apart from work that lasts, so that whole machines can change hands.
+    if (spec.spot && !slot.spot && slot.pinned) score += 10;
+    if (!spec.spot && !slot.pinned) score += 2;
     if (!best || score < best_score) {
       best = &slot;
       best_score = score;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -31,7 +31,8 @@
   const std::string* zone = nullptr;
   bool spot = false;
   store::Resources free;
-  bool empty = true;  // nothing placed on it
+  bool empty = true;   // nothing placed on it
+  bool pinned = false;  // holds work that may not be preempted
 };
 
 /// Tasks of one job by zone, those on machines included.
@@ -41,6 +42,8 @@
   double cpu_per_gpu = 0;  // what tasks with GPUs take; kept free beside free GPUs
   const ImageCaches* images = nullptr;
   const std::set<std::string>* avoid = nullptr;  // machines that failed this job
+  bool strand_gpus = false;  // may CPU work take what free GPUs need?
+  bool spot_only = false;    // work that can wait leaves ordinary machines to work that needs them
 };
 
 bool type_allowed(const store::JobSpec& spec, const std::string& type);
@@ -48,6 +51,10 @@
 bool zone_allowed(const store::JobSpec& spec, const std::string& zone, const ZoneCounts& placed);
 bool kind_allowed(const store::JobSpec& spec, bool spot);
 
+/// May work that can run on spot machines still wait for one? It may, while half of the time
+/// that its deadline (or its class's objective) leaves beside its run is not over.
+bool can_wait_for_spot(const store::JobRecord& r, const store::Settings& settings, double wall);
+
 /// The best slot for one more task, or null.
 Slot* pick(const store::JobSpec& spec, const ZoneCounts& placed, std::vector<Slot>& slots, const Fit& fit);
 
--- a/src/store/domain.h
+++ b/src/store/domain.h
@@ -82,6 +82,8 @@
   double requeue_delay_s = 60;  // the design's default
   double scan_period_s = 5, share_period_s = 5;
   std::vector<Rank> preemptible = {Rank::low, Rank::normal, Rank::high};
+  // Exception to the design: a team within its guarantee gets machines that another borrows.
+  bool reclaim_guarantee = true;
   std::vector<std::pair<std::string, double>> team_shares;  // weight by team, 1 when absent
 };
 
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -152,6 +152,7 @@
   if (!r.address.empty()) j["addr"] = r.address;
   if (r.spot) j["spot"] = true;
   if (r.next_part >= 0) j["next"] = r.next_part;
+  if (r.drain) j["drain"] = true;
   return j;
 }
 
@@ -166,6 +167,7 @@
   r.address = get_or<std::string>(j, "addr", "");
   r.spot = get_or(j, "spot", false);
   r.next_part = get_or(j, "next", -1);
+  r.drain = get_or(j, "drain", false);
   return r;
 }
 
--- a/src/store/records.h
+++ b/src/store/records.h
@@ -65,6 +65,7 @@
   bool spot = false;
   int part = 0;
   int next_part = -1;  // with `offered`: where it goes; -1: release
+  bool drain = false;  // with `offered`: what may be stopped on it is to make room
   MachinePhase phase = MachinePhase::assigned;
   double since = 0;  // time of day of renting or adoption
 
