--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -385,6 +385,7 @@
     if (a->spec.rank != b->spec.rank) return a->spec.rank > b->spec.rank;
     return a->submitted < b->submitted;
   });
+  const bool production_waits = std::any_of(jobs.begin(), jobs.end(), [&](const auto* r) { return !preemptible(r->spec); });
   Fit fit;
   fit.cpu_per_gpu = cpu_per_gpu;
   const auto settings_of = [&](const std::string& team) {
@@ -393,7 +394,7 @@
     return store::TeamSettings{};
   };
   const auto put = [&](const store::JobSpec& spec, ZoneCounts& zones, bool urgent, bool spot_only) {
-    fit.spot_only = spot_only;
+    fit.spot_only = spot_only && production_waits;
     auto& team = team_used[spec.team];
     const auto settings = settings_of(spec.team);
     const auto& limit = settings.limit;
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -654,7 +654,8 @@
 }
 
 Fit Owner::fit_for(const OwnedJob& j) const {
-  return {cpu_per_gpu_, &images_, &j.avoid, false, reserve_, can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall)};
+  return {cpu_per_gpu_, &images_, &j.avoid, false, reserve_,
+          production_waits_ && can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall)};
 }
 
 // CPUs beside free GPUs are kept for work with GPUs only as long as there are others:
@@ -723,6 +724,7 @@
 
 void Owner::reserve_for_arrivals(int part, const std::vector<std::string>& waiting_ids) {
   reserve_ = {};
+  production_waits_ = false;
   const auto count = [&](const store::JobSpec& s, double tasks) {
     if (s.per_task.gpus <= 0 || s.spot) return;
     reserve_.gpus += s.per_task.gpus * tasks;
@@ -731,6 +733,7 @@
   for (const auto& f : demand_.expected(part)) count(f.shape, f.jobs * static_cast<double>(f.shape.tasks));
   for (const auto& id : waiting_ids) {
     const auto& r = jobs_.at(id).cur;
+    production_waits_ |= !preemptible(r);
     count(r.spec, r.spec.tasks - r.done.size() - static_cast<double>(r.placed.size()));
   }
 }
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -121,6 +121,7 @@
   double next_schedule_ = 0, next_scan_ = 0, next_health_ = 0;
   double cpu_per_gpu_ = 0;
   Reserve reserve_;
+  bool production_waits_ = false;
   // Room that a commit freed for its contender, until that is placed.
   struct Promise {
     std::string job, machine;
