--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -341,6 +341,7 @@
   std::vector<Slot> slots;
   std::map<std::string, store::Resources> used;
   std::set<std::string> pinned;
+  std::map<std::string, std::pair<int, int>> placed_tasks;  // by class: on ordinary and on spot machines
   std::map<std::string, store::Resources> team_used;
   std::vector<const store::JobRecord*> jobs;
   double cpu_per_gpu = 0;
@@ -348,6 +349,9 @@
     const auto& r = model_.job(id)->record;
     if (members_.part_of_team(r.spec.team) != part) continue;
     for (const auto& p : r.placed) {
+      const auto* m = model_.machine(p.machine);
+      auto& counts = placed_tasks[r.spec.job_class];
+      ++(m && m->record.spot ? counts.second : counts.first);
       used[p.machine].add(r.spec.per_task);
       if (!preemptible(r.spec)) pinned.insert(p.machine);
       team_used[r.spec.team].add(r.spec.per_task);
@@ -441,9 +445,9 @@
                        " gpus; waiting " + std::to_string(static_cast<int>(waiting.cpus)) + " cpus " +
                        std::to_string(static_cast<int>(waiting.gpus)) + " gpus";
     for (const auto& [name, n] : classes) text += ", " + name + " " + std::to_string(n);
-    for (const auto& [name, u] : team_used)
-      if (team_used.size() < 4) text += "; " + name + " uses " + std::to_string(static_cast<int>(u.cpus)) + " cpus " +
-              std::to_string(static_cast<int>(u.gpus)) + " gpus";
+    text += "; placed";
+    for (const auto& [name, n] : placed_tasks)
+      text += ", " + name + " " + std::to_string(n.first) + " and " + std::to_string(n.second) + " on spot machines";
     ctx_.info(std::move(text));
   }
   constexpr uint32_t kMostTasks = 400;  // of one job in one plan: more machines than that come in steps
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -102,7 +102,7 @@
   if (!j || !durable) return;
   for (const auto& p : j->cur.placed) index(j->cur, p, -1);
   j->cur = durable->record;
-  j->dirty = false;
+  j->written = j->version;
   for (const auto& p : j->cur.placed) index(j->cur, p, 1);
   want_schedule_ = true;
 }
@@ -203,7 +203,7 @@
 void Owner::mark(const std::string& id, int priority) {
   OwnedJob* j = job(id);
   if (!j) return;
-  j->dirty = true;
+  ++j->version;
   if (j->queued_priority <= priority) return;
   j->queued_priority = priority;
   WriteRequest w;
@@ -215,8 +215,8 @@
     const uint64_t held = owned ? members_.held(owned->part) : 0;
     if (!owned) return false;
     owned->queued_priority = 99;
-    if (!owned->dirty || !durable || held == 0) return false;
-    owned->dirty = false;
+    if (!owned->dirty() || !durable || held == 0) return false;
+    owned->prepared = owned->version;
     // A final state that is durable is never left, whatever we came to think meanwhile.
     if (durable->record.final_state()) owned->cur.status = durable->record.status;
     p.expected = durable->stamp;
@@ -234,12 +234,13 @@
     OwnedJob* owned = job(id);
     if (!owned) return;
     if (outcome == WriteOutcome::applied) {
+      owned->written = owned->prepared;
       for (const auto& p : owned->cur.placed) touched_.insert(p.machine);
       // Ended tasks may be forgotten now.
       for (auto& [mid, m] : machines_)
         if (std::any_of(m.reported.begin(), m.reported.end(), [&](const ReportedTask& t) { return t.job == id; }))
           touched_.insert(mid);
-      if (owned->cur.final_state() && owned->cur.placed.empty() && !owned->dirty) drop_job(id);
+      if (owned->cur.final_state() && owned->cur.placed.empty() && !owned->dirty()) drop_job(id);
     } else if (outcome != WriteOutcome::skipped) {
       if (outcome == WriteOutcome::refused) owned->retry_at = ctx_.now + ctx_.settings.lease_s;
       rebase(id);
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -33,7 +33,10 @@
   struct OwnedJob {
     store::JobRecord cur;  // what shall be; the model holds what is durable
     int part = 0;
-    bool dirty = false;
+    // A write may be prepared more than once before it is carried out (refused for the rate, or beside
+    // another's conflict): only what was applied counts as written.
+    uint64_t version = 0, prepared = 0, written = 0;
+    bool dirty() const { return version != written; }
     int queued_priority = 99;
     double retry_at = 0;
     int failures = 0;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -71,20 +71,37 @@
 }
 
 namespace {
-/// GPUs of a slot that tasks of the reserve's size can really take.
+/// GPUs of a slot that tasks with the usual CPUs beside them can take.
 double usable_gpus(const store::Resources& free, const Fit& fit) {
-  const double with_cpus = fit.cpu_per_gpu > 0 ? std::min(free.gpus, free.cpus / fit.cpu_per_gpu) : free.gpus;
+  return fit.cpu_per_gpu > 0 ? std::min(free.gpus, free.cpus / fit.cpu_per_gpu) : free.gpus;
+}
+
+/// GPUs to be kept on each slot so that the reserve stands or, where there is too little room for it,
+/// comes to stand as work ends: on few machines, those that are nearest to it. Spread over all
+/// machines it would never be room for a large task.
+std::map<const Slot*, double> held_back(const std::vector<Slot>& slots, const Fit& fit) {
   const double piece = std::max(1.0, fit.reserve.gpus_per_task);
-  return std::floor(with_cpus / piece + store::Resources::kSlack) * piece;
+  std::vector<std::pair<double, const Slot*>> nearest;
+  for (const auto& slot : slots)
+    if (!slot.spot && slot.free.gpus + store::Resources::kSlack >= piece) nearest.emplace_back(usable_gpus(slot.free, fit), &slot);
+  std::sort(nearest.begin(), nearest.end(), [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first > b.first : a.second->machine < b.second->machine;
+  });
+  std::map<const Slot*, double> held;
+  double left = fit.reserve.gpus;
+  for (const auto& [usable, slot] : nearest) {
+    if (left <= 0) break;
+    const double keep = std::max(piece, std::floor(std::min(left, usable) / piece) * piece);
+    held[slot] = keep;
+    left -= keep;
+  }
+  return held;
 }
 }  // namespace
 
 Slot* pick(const JobSpec& spec, const ZoneCounts& placed, std::vector<Slot>& slots, const Fit& fit) {
   const bool bound = fit.reserve.gpus > 0 && (spec.per_task.gpus == 0 || spec.spot);
-  double usable = 0;
-  if (bound)
-    for (const auto& slot : slots)
-      if (!slot.spot) usable += usable_gpus(slot.free, fit);
+  const auto held = bound ? held_back(slots, fit) : std::map<const Slot*, double>{};
   Slot* best = nullptr;
   double best_score = 0;
   for (auto& slot : slots) {
@@ -98,11 +115,10 @@
     if (!fit.strand_gpus && spec.per_task.gpus == 0 && size.gpus > 0 &&
         slot.free.cpus - spec.per_task.cpus + store::Resources::kSlack < slot.free.gpus * fit.cpu_per_gpu)
       continue;
-    if (bound && !slot.spot && size.gpus > 0) {
+    if (const auto keep = held.find(&slot); keep != held.end()) {
       store::Resources after = slot.free;
       after.add(spec.per_task, -1);
-      const double loss = usable_gpus(slot.free, fit) - usable_gpus(after, fit);
-      if (loss > 0 && usable - loss < fit.reserve.gpus) continue;
+      if (usable_gpus(after, fit) + store::Resources::kSlack < keep->second) continue;
     }
     // In seconds: fetches dominate starts. Work that may use spot machines leaves the others free;
     // after that the fullest machine, so that the emptiest can be given back.
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -57,6 +57,17 @@
   }
 }
 
+// A write that was refused for the rate was prepared anew, found nothing changed since and was
+// dropped: the placement stood in the owner's memory for ever, and its task never started.
+TEST(Core, WritesRefusedForTheRateAreNotLost) {
+  World w({});
+  w.limit_state(60);
+  for (int i = 0; i < 20; ++i) w.submit(spec("job-" + std::to_string(i), store::JobKind::service, 2, 1, 0), 2 + i);
+  w.run_until(80);
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(w.running("job-" + std::to_string(i)), 2u) << i;
+  EXPECT_TRUE(w.broken.empty()) << first(w);
+}
+
 TEST(Core, IdleMachinesAreGivenBack) {
   World w({});
   w.submit(spec("job-1", store::JobKind::array, 8, 4, 10), 3);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -269,6 +269,8 @@
   });
 }
 
+void World::limit_state(double for_s) { limited_until_ = now_ + for_s; }
+
 void World::refuse_state(int node, double for_s) { refused_until_[node] = now_ + for_s; }
 
 void World::watch(int n, int generation, const Call& c, double deadline) {
@@ -296,6 +298,10 @@
     done.status = 503;
     return done;
   }
+  if (now_ < limited_until_ && std::holds_alternative<Txn>(c.body) && rng_() % 2) {
+    done.status = 429;
+    return done;
+  }
   if (const auto* t = std::get_if<Txn>(&c.body)) {
     TxnReply reply;
     for (const auto& cond : t->conditions) {
