--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -20,10 +20,12 @@
 class TokenBucket {
  public:
   void set_rate(double rate) { rate_ = rate; }
-  bool ready(double now) {
+  bool ready(double now) { return level(now) > 0; }
+  /// What is left of a second's worth, as a share of it; below 0: overdrawn.
+  double level(double now) {
     tokens_ = std::min(std::max(1.0, rate_), tokens_ + (now - last_) * rate_);
     last_ = now;
-    return tokens_ > 0;
+    return tokens_ / std::max(1.0, rate_);
   }
   void take(double amount) { tokens_ -= amount; }
 
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -209,7 +209,7 @@
   offered_at_[machine] = ctx_.now;
   WriteRequest w;
   w.key = store::machine_key(machine);
-  w.priority = 1;
+  w.priority = 2;
   w.prepare = [this, machine, next_part, drain](Prepared& p) {
     const auto* m = model_.machine(machine);
     if (!m || !m->record.usable() || !members_.leading()) return false;
@@ -337,7 +337,58 @@
   }
 }
 
-void Leader::plan_part(int part, std::vector<Want>& wants, std::vector<std::string>& unused, std::vector<Unmet>& unmet) {
+// Services leave holes that nothing fills: the machine that pays least for itself is emptied, if what it
+// holds, what waits and what is expected all fit on the others. A replica is away for the fraction of a
+// second that its stop and start take; so only replicas that have run for a while are moved, one machine
+// a part at a time.
+void Leader::consolidate(int part) {
+  constexpr double kMostUsed = 0.4;
+  for (const auto& [id, m] : model_.machines())
+    if (m.record.part == part && m.record.phase == MachinePhase::offered) return;
+  struct Load {
+    store::Resources used;
+    bool movable = true;
+  };
+  std::map<std::string, Load> loads;
+  for (const auto& id : model_.live_jobs()) {
+    const auto& r = model_.job(id)->record;
+    if (members_.part_of_team(r.spec.team) != part) continue;
+    // A start counts for its user once it has lasted half a minute; and work that can't save is not stopped.
+    const bool settled = r.status == JobStatus::open && ctx_.wall - r.last_start > 2 * kLeastCharge_s &&
+                         (r.spec.kind == store::JobKind::service || r.spec.checkpoint_s > 0);
+    for (const auto& p : r.placed) {
+      auto& load = loads[p.machine];
+      load.used.add(r.spec.per_task);
+      load.movable &= settled && p.running && !p.stopping;
+    }
+  }
+  const MachineRecord* best = nullptr;
+  double best_saving = 0;
+  for (const auto& [id, load] : loads) {
+    const auto* m = model_.machine(id);
+    const auto* type = m ? model_.type(m->record.type) : nullptr;
+    if (!type || !load.movable || !m->record.usable() || m->record.part != part) continue;
+    const double share = std::max(type->size.cpus > 0 ? load.used.cpus / type->size.cpus : 0,
+                                  type->size.gpus > 0 ? load.used.gpus / type->size.gpus : 0);
+    const double saving = (m->record.spot ? type->spot_price : type->price) * (1 - share);
+    if (share <= kMostUsed && saving > best_saving) {
+      best = &m->record;
+      best_saving = saving;
+    }
+  }
+  if (!best) return;
+  std::vector<Want> wants;
+  std::vector<std::string> unused;
+  std::vector<Unmet> unmet;
+  plan_part(part, wants, unused, unmet, best->id);
+  if (!wants.empty() || !unmet.empty()) return;
+  ctx_.counters["machines_consolidated"]++;
+  ctx_.info("machine " + best->id + " is emptied: its work fits on the others");
+  offer(best->id, -1, true);
+}
+
+void Leader::plan_part(int part, std::vector<Want>& wants, std::vector<std::string>& unused, std::vector<Unmet>& unmet,
+                       const std::string& without) {
   std::vector<Slot> slots;
   std::map<std::string, store::Resources> used;
   std::set<std::string> pinned;
@@ -348,7 +399,12 @@
   for (const auto& id : model_.live_jobs()) {
     const auto& r = model_.job(id)->record;
     if (members_.part_of_team(r.spec.team) != part) continue;
+    uint32_t displaced = 0;
     for (const auto& p : r.placed) {
+      if (p.machine == without) {
+        ++displaced;
+        continue;
+      }
       const auto* m = model_.machine(p.machine);
       auto& counts = placed_tasks[r.spec.job_class];
       ++(m && m->record.spot ? counts.second : counts.first);
@@ -357,7 +413,7 @@
       team_used[r.spec.team].add(r.spec.per_task);
     }
     if (r.spec.per_task.gpus > 0) cpu_per_gpu = std::max(cpu_per_gpu, r.spec.per_task.cpus / r.spec.per_task.gpus);
-    if (r.status == JobStatus::open && r.placed.size() + r.done.size() < r.spec.tasks) jobs.push_back(&r);
+    if (r.status == JobStatus::open && r.placed.size() - displaced + r.done.size() < r.spec.tasks) jobs.push_back(&r);
   }
   const auto add = [&](const MachineRecord& m) {
     const auto* type = model_.type(m.type);
@@ -372,7 +428,7 @@
     slots.push_back(std::move(s));
   };
   for (const auto& [id, m] : model_.machines())
-    if (m.record.part == part && m.record.usable()) add(m.record);
+    if (m.record.part == part && m.record.usable() && id != without) add(m.record);
   for (const auto& [id, m] : fresh_)
     if (m.part == part && !model_.machine(id)) add(m);
   for (const auto& r : rentals_) {
@@ -430,7 +486,7 @@
     team.add(spec.per_task);
     return true;
   };
-  if (ctx_.logs(LogLine::Level::info) && ctx_.now >= next_share_) {
+  if (ctx_.logs(LogLine::Level::info) && ctx_.now >= next_share_ && without.empty()) {
     // One line a part and sharing period: enough to see who waits for what, and whether machines are there.
     store::Resources free, waiting;
     for (const auto& s : slots) free.add(s.free);
@@ -453,9 +509,13 @@
   constexpr uint32_t kMostTasks = 400;  // of one job in one plan: more machines than that come in steps
   for (const auto* r : jobs) {
     ZoneCounts zones;
-    for (const auto& p : r->placed)
+    uint32_t placed = 0;
+    for (const auto& p : r->placed) {
+      if (p.machine == without) continue;
+      ++placed;
       if (const auto* m = model_.machine(p.machine)) zones[m->record.zone]++;
-    const uint32_t need = std::min<uint32_t>(kMostTasks, r->spec.tasks - r->done.size() - static_cast<uint32_t>(r->placed.size()));
+    }
+    const uint32_t need = std::min<uint32_t>(kMostTasks, r->spec.tasks - r->done.size() - placed);
     const bool waits = can_wait_for_spot(*r, ctx_.settings, ctx_.wall);
     for (uint32_t i = 0; i < need; ++i)
       if (!put(r->spec, zones, true, waits)) break;
@@ -514,6 +574,12 @@
       if (count > 0) start_rental(w, count);
     }
 
+  if (ctx_.operators.consolidate && ctx_.now >= next_consolidation_ && ctx_.now - led_since_ > ctx_.settings.lease_s) {
+    next_consolidation_ = ctx_.now + ctx_.operators.share_period_s;
+    if (wants.empty() && unmet.empty())
+      for (int part = 0; part < members_.parts(); ++part) consolidate(part);
+  }
+
   // What nobody has needed for a while is given back.
   std::map<std::string, double> idle;
   for (const auto& id : unused) {
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -52,7 +52,9 @@
   void listed(const std::vector<CloudMachine>& machines);
   void delete_doomed();
   void plan();
-  void plan_part(int part, std::vector<Want>& wants, std::vector<std::string>& unused, std::vector<Unmet>& unmet);
+  void plan_part(int part, std::vector<Want>& wants, std::vector<std::string>& unused, std::vector<Unmet>& unmet,
+                 const std::string& without = "");
+  void consolidate(int part);
   void reclaim(const std::vector<Unmet>& unmet);
   bool rent_slot(const store::JobSpec& spec, const ZoneCounts& zones, int part, std::vector<Slot>& slots, bool urgent,
                  bool with_gpus, bool spot_only, std::vector<Want>& wants);
@@ -69,7 +71,7 @@
   Membership& members_;
   const Demand& demand_;
   bool leading_ = false;
-  double led_since_ = 0, next_types_ = 0, next_list_ = 0, next_plan_ = 0, next_delete_ = 0, next_share_ = 0;
+  double led_since_ = 0, next_types_ = 0, next_list_ = 0, next_plan_ = 0, next_delete_ = 0, next_share_ = 0, next_consolidation_ = 0;
   bool fetching_types_ = false, listing_ = false, deleting_ = false, listed_once_ = false;
   TokenBucket cloud_budget_;
   uint64_t requests_ = 0;
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -175,7 +175,7 @@
       if (p.machine == id) tasks.emplace_back(job_id, p.task);
   for (const auto& [job_id, task] : tasks) {
     unplace(*job(job_id), task);
-    mark(job_id, 0);
+    mark(job_id, 1);
   }
   machines_.erase(id);
   images_.forget(id);
@@ -335,7 +335,7 @@
         if (p.task == key.second) p.stopping = true;
       changed.insert(key.first);
     }
-    for (const auto& id : changed) mark(id, 0);
+    for (const auto& id : changed) mark(id, 1);
   }
   m.notice_s = report.notice_s;
   const auto* record = model_.machine(m.id);
@@ -385,7 +385,7 @@
   }
   if (j.cur.status == JobStatus::open && j.cur.spec.kind != JobKind::service && j.cur.done.size() == j.cur.spec.tasks)
     j.cur.status = JobStatus::done;
-  mark(id, 1);
+  mark(id, 2);
 }
 
 std::vector<WorkerCommand> Owner::reconcile(Machine& m, bool& has_start) {
@@ -409,7 +409,7 @@
         if (t.state == TaskState::running && !p.running) {
           p.running = true;
           j->cur.last_start = ctx_.wall;
-          mark(t.job, 2);
+          mark(t.job, 3);
         }
         const auto* durable = model_.job(t.job);
         const auto* d = durable ? durable->record.placement_of(t.task) : nullptr;
@@ -455,7 +455,7 @@
   for (const auto& [job_id, task] : gone) {
     if (OwnedJob* j = job(job_id)) {
       unplace(*j, task);
-      mark(job_id, 1);
+      mark(job_id, 2);
     }
   }
   return commands;
@@ -549,8 +549,9 @@
   const auto* record = model_.machine(m.id);
   if (!record || record->record.phase != MachinePhase::offered) return;
   const bool empty = m.placed.empty();
-  if (!empty && record->record.drain && m.pinned == 0) {
-    // The leader takes it back for a team within its guarantee: what runs here is stopped, saved and queued again.
+  if (!empty && record->record.drain && (m.pinned == 0 || record->record.next_part < 0)) {
+    // The leader takes it back, for a team within its guarantee or because its work fits on fewer machines:
+    // what runs here is stopped, saved and queued again.
     std::set<std::string> changed;
     for (const auto& [key, attempt] : m.placed)
       if (OwnedJob* j = job(key.first))
@@ -559,10 +560,10 @@
             p.stopping = true;
             changed.insert(key.first);
           }
-    for (const auto& id : changed) mark(id, 0);
+    for (const auto& id : changed) mark(id, 1);
     return;
   }
-  write_machine(m.id, 1, [this, empty, id = m.id](MachineRecord& r) {
+  write_machine(m.id, 2, [this, empty, id = m.id](MachineRecord& r) {
     if (r.phase != MachinePhase::offered) return false;
     const Machine* mine = machine(id);
     r.drain = false;
@@ -757,7 +758,7 @@
   }
   if (any) {
     ctx_.counters["placements"]++;
-    mark(id, 0);
+    mark(id, 1);
   }
   return any;
 }
@@ -888,7 +889,7 @@
       ctx_.info("requeue committed: " + candidate + " makes room for " + *it);
       victim.cur.not_before = ctx_.wall + ctx_.operators.requeue_delay_s;
       for (auto& p : victim.cur.placed) p.stopping = true;
-      mark(candidate, 0);
+      mark(candidate, 1);
       for (const auto& [machine_id, room] : used)
         promises_.push_back({*it, machine_id, room, ctx_.now + ctx_.settings.lease_s});
       contenders.erase(it);
--- a/src/coordination/state_link.cpp
+++ b/src/coordination/state_link.cpp
@@ -230,13 +230,14 @@
 void StateLink::flush() {
   constexpr size_t kTxnBytes = 56 * 1024;  // the service takes 64 KiB; the rest is for the frame
   while (txns_in_flight_ < Tunables::kTxnsInFlight && ctx_.now >= hold_writes_until_ && lease_valid()) {
-    if (!txn_budget_.ready(ctx_.now) || !write_budget_.ready(ctx_.now)) return;
+    const double level = std::min(txn_budget_.level(ctx_.now), write_budget_.level(ctx_.now));
     std::vector<ItemPtr> items;
     std::set<std::string> keys, conditions;
     size_t bytes = 0;
     const auto ops = static_cast<size_t>(ctx_.settings.txn_ops);
     bool full = false;
-    for (auto& queue : queue_) {
+    for (int priority = 0; priority < kPriorities && level > Tunables::kWriteFloor[priority]; ++priority) {
+      auto& queue = queue_[priority];
       for (auto it = queue.begin(); it != queue.end() && !full;) {
         ItemPtr item = *it;
         if (keys_in_flight_.count(item->request.key) || keys.count(item->request.key)) {
--- a/src/coordination/state_link.h
+++ b/src/coordination/state_link.h
@@ -26,7 +26,7 @@
 
 struct WriteRequest {
   std::string key;
-  int priority = 0;  // 0: accept, cancel, start; 1: done; 2: bookkeeping
+  int priority = 0;  // 0: accept, cancel, keys held; 1: start; 2: done; 3: bookkeeping
   std::function<bool(Prepared&)> prepare;  // runs when the write is about to leave
   std::function<void(WriteOutcome, uint64_t stamp)> done;
 };
@@ -95,7 +95,7 @@
   bool proving_ = false;
   std::vector<Proof> proofs_;
 
-  static constexpr int kPriorities = 3;
+  static constexpr int kPriorities = 4;
   std::deque<ItemPtr> queue_[kPriorities];
   std::set<std::string> keys_in_flight_;
   std::vector<std::pair<double, ItemPtr>> lookups_due_;
--- a/src/coordination/tunables.h
+++ b/src/coordination/tunables.h
@@ -41,6 +41,9 @@
   // Shares of a node's part of state.rps.
   static constexpr double kBudget = 0.9, kWatchShare = 0.35, kProofShare = 0.25, kTxnShare = 0.4;
   static constexpr int kTxnsInFlight = 4;
+  // How far the budget of writes must stand for each priority, in seconds' worth. Users wait for the first
+  // two, so these may overdraw: other nodes seldom use all of theirs, and a 429 costs a tenth of a second.
+  static constexpr double kWriteFloor[] = {-1.0, -0.5, 0.0, 0.4};
   static constexpr double kMassShare = 0.3;      // silent machines of a zone beyond this share point to the network
   static constexpr double kBootPatience = 4;     // times readyS
   static constexpr int kFaultyJobs = 2;          // different jobs failing on a machine in a row
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -222,10 +222,10 @@
       s.scan_period_s = one_positive();
     } else if (name == "share-period") {
       s.share_period_s = one_positive();
-    } else if (name == "reclaim-guarantee") {
+    } else if (name == "reclaim-guarantee" || name == "consolidate") {
       const std::string v = args && args->ty == SEXP_VALUE && !args->next ? args->val : "";
       if (v != "on" && v != "off") throw fail(name + ": takes on or off");
-      s.reclaim_guarantee = v == "on";
+      (name == "consolidate" ? s.consolidate : s.reclaim_guarantee) = v == "on";
     } else if (name == "preemptible") {
       s.preemptible.clear();
       for (const sexp_t* a = args; a; a = a->next) {
--- a/src/store/domain.h
+++ b/src/store/domain.h
@@ -84,6 +84,8 @@
   std::vector<Rank> preemptible = {Rank::low, Rank::normal, Rank::high};
   // Exception to the design: a team within its guarantee gets machines that another borrows.
   bool reclaim_guarantee = true;
+  // Move replicas together and give the machine back when their work fits on fewer.
+  bool consolidate = true;
   std::vector<std::pair<std::string, double>> team_shares;  // weight by team, 1 when absent
 };
 
