--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -453,8 +453,9 @@
       if (t.name == team) return t;
     return store::TeamSettings{};
   };
-  const auto put = [&](const store::JobSpec& spec, ZoneCounts& zones, bool urgent, bool spot_only) {
-    fit.spot_only = spot_only && production_waits;
+  const auto put = [&](const store::JobSpec& spec, ZoneCounts& zones, bool urgent, bool spot_only, bool no_renting = false) {
+    // What is only expected must not hold an ordinary machine that it could do without.
+    fit.spot_only = spot_only && (production_waits || !urgent);
     auto& team = team_used[spec.team];
     const auto settings = settings_of(spec.team);
     const auto& limit = settings.limit;
@@ -464,6 +465,7 @@
     // Work without GPUs takes what is beside them, then machines without, then what free GPUs
     // would need, and machines with GPUs only where nothing else is to be had.
     Slot* s = pick(spec, zones, slots, fit);
+    if (!s && no_renting) return false;
     const bool rented = !s && rent_slot(spec, zones, part, slots, urgent, false, spot_only, wants);
     if (!s && !rented && spec.per_task.gpus == 0) {
       Fit any = fit;
@@ -506,6 +508,11 @@
       text += ", " + name + " " + std::to_string(n.first) + " and " + std::to_string(n.second) + " on spot machines";
     ctx_.info(std::move(text));
   }
+  double running_arrays = 0, backlog = 0;
+  for (const auto& id : model_.live_jobs()) {
+    const auto& r = model_.job(id)->record;
+    if (members_.part_of_team(r.spec.team) == part && r.spec.kind == store::JobKind::array) running_arrays += r.running();
+  }
   constexpr uint32_t kMostTasks = 400;  // of one job in one plan: more machines than that come in steps
   for (const auto* r : jobs) {
     ZoneCounts zones;
@@ -516,9 +523,18 @@
       if (const auto* m = model_.machine(p.machine)) zones[m->record.zone]++;
     }
     const uint32_t need = std::min<uint32_t>(kMostTasks, r->spec.tasks - r->done.size() - placed);
-    const bool waits = can_wait_for_spot(*r, ctx_.settings, ctx_.wall);
+    bool waits = can_wait_for_spot(*r, ctx_.settings, ctx_.wall);
+    bool turn_comes = false;
+    if (r->spec.kind == store::JobKind::array && r->spec.estimate_s > 0) {
+      // Work that ends by itself makes room: what gets its turn in time on the machines that are there
+      // needs no new ones.
+      const double left = due_after_s(r->spec, ctx_.settings) - (ctx_.wall - r->submitted) - 1.3 * r->spec.estimate_s;
+      const double turns = running_arrays * std::max(0.0, left) / r->spec.estimate_s;
+      backlog += need;
+      turn_comes = backlog <= turns;
+    }
     for (uint32_t i = 0; i < need; ++i)
-      if (!put(r->spec, zones, true, waits)) break;
+      if (!put(r->spec, zones, true, waits, turn_comes)) break;
   }
   // Spare room for what arrives while a machine boots.
   for (const auto& f : demand_.expected(part))
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -59,15 +59,18 @@
   return static_cast<int>(n);
 }
 
-bool can_wait_for_spot(const store::JobRecord& r, const store::Settings& settings, double wall) {
-  const auto& s = r.spec;
-  if (!s.spot) return false;
-  double due = 3 * s.estimate_s;
+double due_after_s(const JobSpec& spec, const store::Settings& settings) {
+  if (spec.deadline_s) return *spec.deadline_s;
+  double due = 0;
   for (const auto& o : settings.objectives)
-    if (o.job_class == s.job_class && o.within_s > 0 && o.kind != "wait") due = o.within_s;
-  if (s.deadline_s) due = *s.deadline_s;
+    if (o.job_class == spec.job_class && o.within_s > 0 && o.kind != "wait") due = due > 0 ? std::min(due, o.within_s) : o.within_s;
+  return due > 0 ? due : 3 * spec.estimate_s;
+}
+
+bool can_wait_for_spot(const store::JobRecord& r, const store::Settings& settings, double wall) {
+  if (!r.spec.spot) return false;
   // Guesses are often wrong by half.
-  return wall < r.submitted + (due - 1.5 * s.estimate_s) / 2;
+  return wall < r.submitted + (due_after_s(r.spec, settings) - 1.5 * r.spec.estimate_s) / 2;
 }
 
 namespace {
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -58,6 +58,10 @@
 bool zone_allowed(const store::JobSpec& spec, const std::string& zone, const ZoneCounts& placed);
 bool kind_allowed(const store::JobSpec& spec, bool spot);
 
+/// Seconds after its submission by which a job should be over: its deadline, its class's objective, or,
+/// with neither, three times its run.
+double due_after_s(const store::JobSpec& spec, const store::Settings& settings);
+
 /// May work that can run on spot machines still wait for one? It may, while half of the time
 /// that its deadline (or its class's objective) leaves beside its run is not over.
 bool can_wait_for_spot(const store::JobRecord& r, const store::Settings& settings, double wall);
