Machines that still boot go first to parts within their guarantee

Cause: before the machines are up nobody uses more than its guarantee, so nobody counted as lending, and all that booted stayed with the part that had asked first.

--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -296,9 +296,14 @@
       auto& load = loads[p.machine];
       ++load.tasks;
       load.pinned |= !preemptible(r.spec);
-      used[r.spec.team].add(r.spec.per_task);
     }
+    // What waits counts, too: machines that still boot for work beyond the guarantee are the cheapest to give.
+    if (r.status == JobStatus::open) used[r.spec.team].add(r.spec.per_task, r.spec.tasks - r.done.size());
   }
+  std::map<int, double> capacity, guaranteed;  // CPUs by part
+  for (const auto& [id, m] : model_.machines())
+    if (const auto* type = model_.type(m.record.type); type && m.record.usable()) capacity[m.record.part] += type->size.cpus;
+  for (const auto& t : ctx_.settings.teams) guaranteed[members_.part_of_team(t.name)] += t.guarantee.cpus;
   std::set<int> lenders;
   for (const auto& t : ctx_.settings.teams)
     if (used[t.name].cpus > t.guarantee.cpus + store::Resources::kSlack || used[t.name].gpus > t.guarantee.gpus + store::Resources::kSlack)
@@ -316,7 +321,7 @@
     for (const auto& [id, m] : model_.machines()) {
       const auto* type = model_.type(m.record.type);
       if (!type || !m.record.usable() || m.record.part == u.part || !lenders.count(m.record.part) || taken.count(id) ||
-          m.record.address.empty() || !type_allowed(u.spec, m.record.type) || !kind_allowed(u.spec, m.record.spot) ||
+          capacity[m.record.part] - type->size.cpus < guaranteed[m.record.part] || !type_allowed(u.spec, m.record.type) || !kind_allowed(u.spec, m.record.spot) ||
           !zone_allowed(u.spec, m.record.zone, u.zones) || capacity_for(u.spec, *type) <= 0)
         continue;
       const auto load = loads.find(id);
