--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -290,6 +290,12 @@
   };
   const auto* record = model_.machine(report.machine);
   heard_[report.machine] = ctx_.now;
+  // Restarted in an outage: nobody can read the keys, so nobody can take over, accept or cancel either.
+  // While all controllers agree on that, the worker's own token keeps its tasks alive; it gets no orders.
+  if (!link_.synced() && members_.outage_shared()) {
+    ctx_.out.push_back(AnswerReport{request, 200, report.token, {}, ""});
+    return;
+  }
   if (!record || record->record.doomed()) return answer(503);
   const int part = record->record.part;
   Machine* m = machine(report.machine);
@@ -505,7 +511,7 @@
     ++total;
     if (ctx_.now - o.last_news > ctx_.tune.probe_after_s) ++silent;
   }
-  return silent > std::max(2.0, total * Tunables::kMassShare);
+  return silent > std::max(3.0, total * Tunables::kMassShare);
 }
 
 void Owner::condemn(Machine& m, const std::string& why) {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -106,6 +106,20 @@
   EXPECT_TRUE(w.broken.empty()) << first(w);
 }
 
+// All controllers restart in an outage: nobody knows the keys, yet the fleet has to live on.
+TEST(Core, AFleetSurvivesAllControllersCrashingInAnOutage) {
+  World w({});
+  w.submit(spec("job-2", store::JobKind::service, 4, 2, 0), 3);
+  w.run_until(40);
+  w.state_outage(50);
+  w.run_until(45);
+  for (int n = 0; n < 3; ++n) w.kill_node(n, 5);
+  w.run_until(120);
+  EXPECT_EQ(w.running("job-2"), 4u);
+  EXPECT_EQ(w.starts_of("job-2"), 4u);
+  EXPECT_TRUE(w.broken.empty()) << first(w);
+}
+
 TEST(Core, ANodeThatAloneLosesTheStateServiceYields) {
   World w({});
   w.submit(spec("job-2", store::JobKind::service, 4, 2, 0), 3);
