--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -40,8 +40,11 @@
 }
 
 store::Json Core::stats() const {
-  store::Json j = {{"node", ctx_.settings.node}, {"revision", model_.revision()}, {"leading", members_.leading()},
-                   {"state_lease", link_.lease_valid()}, {"write_backlog", link_.backlog()}};
+  store::Json j = {{"node", ctx_.settings.node},
+                   {"revision", model_.revision()},
+                   {"leading", members_.leading()},
+                   {"state_lease", link_.lease_valid()},
+                   {"write_backlog", link_.backlog()}};
   j["known_jobs"] = model_.jobs().size();
   j["owner"] = owner_.stats();
   j["counters"] = ctx_.counters;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -266,9 +266,8 @@
   Slot slot{"", type, &*zone, best_key.spot, type->size, true};
   slot.free.add(spec.per_task, -1);
   slots.push_back(slot);
-  auto w = std::find_if(wants.begin(), wants.end(), [&](const Want& x) {
-    return x.part == part && !(x.key < best_key) && !(best_key < x.key);
-  });
+  auto w = std::find_if(wants.begin(), wants.end(),
+                        [&](const Want& x) { return x.part == part && !(x.key < best_key) && !(best_key < x.key); });
   if (w == wants.end()) w = wants.insert(wants.end(), Want{part, best_key, 0, 0});
   (urgent ? w->urgent : w->spare)++;
   return true;
@@ -306,7 +305,8 @@
   for (const auto& t : ctx_.settings.teams) guaranteed[members_.part_of_team(t.name)] += t.guarantee.cpus;
   std::set<int> lenders;
   for (const auto& t : ctx_.settings.teams)
-    if (used[t.name].cpus > t.guarantee.cpus + store::Resources::kSlack || used[t.name].gpus > t.guarantee.gpus + store::Resources::kSlack)
+    if (used[t.name].cpus > t.guarantee.cpus + store::Resources::kSlack ||
+        used[t.name].gpus > t.guarantee.gpus + store::Resources::kSlack)
       lenders.insert(members_.part_of_team(t.name));
   // What is already on its way counts, and only a few go at a time: the next plan sees the effect.
   std::map<int, int> coming;
@@ -321,8 +321,9 @@
     for (const auto& [id, m] : model_.machines()) {
       const auto* type = model_.type(m.record.type);
       if (!type || !m.record.usable() || m.record.part == u.part || !lenders.count(m.record.part) || taken.count(id) ||
-          capacity[m.record.part] - type->size.cpus < guaranteed[m.record.part] || !type_allowed(u.spec, m.record.type) || !kind_allowed(u.spec, m.record.spot) ||
-          !zone_allowed(u.spec, m.record.zone, u.zones) || capacity_for(u.spec, *type) <= 0)
+          capacity[m.record.part] - type->size.cpus < guaranteed[m.record.part] || !type_allowed(u.spec, m.record.type) ||
+          !kind_allowed(u.spec, m.record.spot) || !zone_allowed(u.spec, m.record.zone, u.zones) ||
+          capacity_for(u.spec, *type) <= 0)
         continue;
       const auto load = loads.find(id);
       if (load != loads.end() && load->second.pinned) continue;
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -71,7 +71,8 @@
   Membership& members_;
   const Demand& demand_;
   bool leading_ = false;
-  double led_since_ = 0, next_types_ = 0, next_list_ = 0, next_plan_ = 0, next_delete_ = 0, next_share_ = 0, next_consolidation_ = 0;
+  double led_since_ = 0, next_types_ = 0, next_list_ = 0, next_plan_ = 0, next_delete_ = 0, next_share_ = 0,
+         next_consolidation_ = 0;
   bool fetching_types_ = false, listing_ = false, deleting_ = false, listed_once_ = false;
   TokenBucket cloud_budget_;
   uint64_t requests_ = 0;
--- a/src/coordination/messages.h
+++ b/src/coordination/messages.h
@@ -54,7 +54,7 @@
   std::string node, incarnation;
   bool has_state = false;  // its lease at the state service is in force
   bool synced = false;
-  double backlog = 0;      // records waiting to be written
+  double backlog = 0;  // records waiting to be written
   std::vector<int> parts;
   std::vector<std::string> heard;  // machines heard from lately
 };
@@ -128,7 +128,8 @@
   Reply reply;
 };
 
-using Command = std::variant<SubmitJob, QueryJob, CancelJob, CheckHealth, ShowStats, TakeReport, TakePeerState, CallDone, Tick>;
+using Command =
+    std::variant<SubmitJob, QueryJob, CancelJob, CheckHealth, ShowStats, TakeReport, TakePeerState, CallDone, Tick>;
 
 // ---- effects ----
 struct JobView {
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -607,7 +607,6 @@
     }
     for (auto it = heard_.begin(); it != heard_.end();)
       it = ctx_.now - it->second > ctx_.settings.lease_s ? heard_.erase(it) : std::next(it);
-    // A cancelled task that can't be stopped in time goes with its machine.
     std::erase_if(promises_, [&](const Promise& p) { return ctx_.now > p.until; });
     want_schedule_ = true;
   }
@@ -662,8 +661,8 @@
 }
 
 Fit Owner::fit_for(const OwnedJob& j) const {
-  return {cpu_per_gpu_, &images_, &j.avoid, false, reserve_,
-          production_waits_ && can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall)};
+  return {cpu_per_gpu_, &images_, &j.avoid,
+          false,        reserve_, production_waits_ && can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall)};
 }
 
 // CPUs beside free GPUs are kept for work with GPUs only as long as there are others:
@@ -693,7 +692,8 @@
   constexpr double kPerPlacement = 44, kPerRun = 16, kFrame = 700;
   const double room = ctx_.settings.value_kb * 1024 * 0.9 - kFrame - kPerRun * static_cast<double>(r.done.runs().size());
   const double most = std::max(1.0, room / kPerPlacement);
-  return most <= static_cast<double>(r.placed.size()) ? 0 : static_cast<uint32_t>(most) - static_cast<uint32_t>(r.placed.size());
+  return most <= static_cast<double>(r.placed.size()) ? 0
+                                                      : static_cast<uint32_t>(most) - static_cast<uint32_t>(r.placed.size());
 }
 
 uint32_t Owner::next_pending(const JobRecord& r, uint32_t from) const {
@@ -806,8 +806,12 @@
     const auto& s = j.cur.spec;
     std::string shape;
     if (j.cur.placed.empty() && j.avoid.empty()) {
-      shape = s.job_class + "|" + s.team + "|" + std::to_string(s.per_task.cpus) + "|" + std::to_string(s.per_task.gpus) + "|" +
-              std::to_string(s.per_task.memory_gb) + "|" + (!s.spot ? "" : can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall) ? "w" : "s") + (s.zone ? *s.zone : "");
+      shape = s.job_class + "|" + s.team + "|" + std::to_string(s.per_task.cpus) + "|" + std::to_string(s.per_task.gpus) +
+              "|" + std::to_string(s.per_task.memory_gb) + "|" +
+              (!s.spot                                              ? ""
+               : can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall) ? "w"
+                                                                    : "s") +
+              (s.zone ? *s.zone : "");
       if (s.types)
         for (const auto& t : *s.types) shape += "|" + t;
       if (hopeless.count(shape)) continue;
@@ -839,7 +843,8 @@
 bool Owner::fits_whole(const OwnedJob& contender, std::vector<Slot> picture,
                        std::vector<std::pair<std::string, store::Resources>>* used) const {
   ZoneCounts zones = zones_of(contender.cur);
-  const uint32_t need = contender.cur.spec.tasks - contender.cur.done.size() - static_cast<uint32_t>(contender.cur.placed.size());
+  const uint32_t need =
+      contender.cur.spec.tasks - contender.cur.done.size() - static_cast<uint32_t>(contender.cur.placed.size());
   store::Resources more;
   for (uint32_t i = 0; i < need; ++i) {
     more.add(contender.cur.spec.per_task);
@@ -858,8 +863,7 @@
   std::vector<std::string> candidates;
   for (const auto& [id, j] : jobs_) {
     if (j.part != part || j.cur.status != JobStatus::open) continue;
-    const std::string reason =
-        nomination_skip_reason(j.cur, ctx_.wall, ctx_.operators, ctx_.settings.clock_error_s);
+    const std::string reason = nomination_skip_reason(j.cur, ctx_.wall, ctx_.operators, ctx_.settings.clock_error_s);
     if (reason.empty()) {
       ctx_.counters["requeue_nominations_total"]++;
       candidates.push_back(id);
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -14,8 +14,7 @@
 
 class Owner {
  public:
-  Owner(Context& ctx, store::Model& model, StateLink& link, Membership& members, ImageCaches& images,
-        const Demand& demand);
+  Owner(Context& ctx, store::Model& model, StateLink& link, Membership& members, ImageCaches& images, const Demand& demand);
 
   void gained(int part);
   void lost(int part);
@@ -45,11 +44,11 @@
   struct Machine {
     std::string id;
     int part = 0;
-    double since = 0;        // when we began to be responsible for it
-    double last_news = 0;    // last newer report, however it came
+    double since = 0;      // when we began to be responsible for it
+    double last_news = 0;  // last newer report, however it came
     double direct_failing_since = 0;
     uint64_t session = 0, seq = 0, token_seen = 0;
-    bool known = false;      // reported to us
+    bool known = false;  // reported to us
     std::vector<ReportedTask> reported;
     std::optional<double> notice_s;
     bool in_flight = false, wanted = false, condemning = false, writing = false;
@@ -106,7 +105,8 @@
   bool place_some(const std::string& id, OwnedJob& j, std::vector<Slot>& slots);
   std::vector<std::string> waiting(int part) const;
   void scan(int part);
-  bool fits_whole(const OwnedJob& contender, std::vector<Slot> picture, std::vector<std::pair<std::string, store::Resources>>* used) const;
+  bool fits_whole(const OwnedJob& contender, std::vector<Slot> picture,
+                  std::vector<std::pair<std::string, store::Resources>>* used) const;
 
   Context& ctx_;
   store::Model& model_;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -63,7 +63,8 @@
   if (spec.deadline_s) return *spec.deadline_s;
   double due = 0;
   for (const auto& o : settings.objectives)
-    if (o.job_class == spec.job_class && o.within_s > 0 && o.kind != "wait") due = due > 0 ? std::min(due, o.within_s) : o.within_s;
+    if (o.job_class == spec.job_class && o.within_s > 0 && o.kind != "wait")
+      due = due > 0 ? std::min(due, o.within_s) : o.within_s;
   return due > 0 ? due : 3 * spec.estimate_s;
 }
 
@@ -86,7 +87,8 @@
   const double piece = std::max(1.0, fit.reserve.gpus_per_task);
   std::vector<std::pair<double, const Slot*>> nearest;
   for (const auto& slot : slots)
-    if (!slot.spot && slot.free.gpus + store::Resources::kSlack >= piece) nearest.emplace_back(usable_gpus(slot.free, fit), &slot);
+    if (!slot.spot && slot.free.gpus + store::Resources::kSlack >= piece)
+      nearest.emplace_back(usable_gpus(slot.free, fit), &slot);
   std::sort(nearest.begin(), nearest.end(), [](const auto& a, const auto& b) {
     return a.first != b.first ? a.first > b.first : a.second->machine < b.second->machine;
   });
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -31,7 +31,7 @@
   const std::string* zone = nullptr;
   bool spot = false;
   store::Resources free;
-  bool empty = true;   // nothing placed on it
+  bool empty = true;    // nothing placed on it
   bool pinned = false;  // holds work that may not be preempted
 };
 
@@ -40,7 +40,7 @@
 
 /// Room with GPUs on ordinary machines that is kept for work that can run nowhere else.
 struct Reserve {
-  double gpus = 0;          // to be kept
+  double gpus = 0;           // to be kept
   double gpus_per_task = 1;  // in pieces of this size
 };
 
@@ -48,9 +48,9 @@
   double cpu_per_gpu = 0;  // what tasks with GPUs take; kept free beside free GPUs
   const ImageCaches* images = nullptr;
   const std::set<std::string>* avoid = nullptr;  // machines that failed this job
-  bool strand_gpus = false;  // may CPU work take what free GPUs need?
-  Reserve reserve = {};      // binds work without GPUs and work that may use spot machines
-  bool spot_only = false;    // work that can wait leaves ordinary machines to work that needs them
+  bool strand_gpus = false;                      // may CPU work take what free GPUs need?
+  Reserve reserve = {};                          // binds work without GPUs and work that may use spot machines
+  bool spot_only = false;                        // work that can wait leaves ordinary machines to work that needs them
 };
 
 bool type_allowed(const store::JobSpec& spec, const std::string& type);
--- a/src/coordination/state_link.cpp
+++ b/src/coordination/state_link.cpp
@@ -315,8 +315,8 @@
     const std::set<std::string> bad(reply->failed.begin(), reply->failed.end());
     for (auto it = items.rbegin(); it != items.rend(); ++it) {
       const auto& p = (*it)->prepared;
-      const bool hit = bad.count((*it)->request.key) ||
-                       std::any_of(p.conditions.begin(), p.conditions.end(), [&](const auto& c) { return bad.count(c.key); });
+      const bool hit = bad.count((*it)->request.key) || std::any_of(p.conditions.begin(), p.conditions.end(),
+                                                                    [&](const auto& c) { return bad.count(c.key); });
       if (hit) {
         look_up(*it);
       } else {
--- a/src/coordination/state_link.h
+++ b/src/coordination/state_link.h
@@ -26,7 +26,7 @@
 
 struct WriteRequest {
   std::string key;
-  int priority = 0;  // 0: accept, cancel, keys held; 1: start; 2: done; 3: bookkeeping
+  int priority = 0;                        // 0: accept, cancel, keys held; 1: start; 2: done; 3: bookkeeping
   std::function<bool(Prepared&)> prepare;  // runs when the write is about to leave
   std::function<void(WriteOutcome, uint64_t stamp)> done;
 };
--- a/src/coordination/tunables.h
+++ b/src/coordination/tunables.h
@@ -19,7 +19,6 @@
         silence_limit_s(s.lease_s * 0.6),
         mass_silence_limit_s(s.lease_s * 2),
         blind_limit_s((s.cancel_s - s.lease_s) * 0.85),
-        cancel_escalation_s((s.cancel_s - s.lease_s) * 0.5),
         home_steady_s(s.lease_s * 1.5),
         user_wait_s(4.0),
         poll_wait_s(1.5) {}
@@ -33,7 +32,7 @@
   double silence_limit_s, mass_silence_limit_s;
   // Without the state service a cancellation may be acknowledged elsewhere: the
   // lease of our workers has to lapse within cancel_s of that.
-  double blind_limit_s, cancel_escalation_s;
+  double blind_limit_s;
   double home_steady_s;
   double user_wait_s;  // the protocol gives a submission 5 s
   double poll_wait_s;  // and a poll 2 s
@@ -44,9 +43,9 @@
   // How far the budget of writes must stand for each priority, in seconds' worth. Users wait for the first
   // two, so these may overdraw: other nodes seldom use all of theirs, and a 429 costs a tenth of a second.
   static constexpr double kWriteFloor[] = {-1.0, -0.5, 0.0, 0.4};
-  static constexpr double kMassShare = 0.7;      // a cut silences all of a zone; more silent than this share points to one
-  static constexpr double kBootPatience = 4;     // times readyS
-  static constexpr int kFaultyJobs = 2;          // different jobs failing on a machine in a row
+  static constexpr double kMassShare = 0.7;   // a cut silences all of a zone; more silent than this share points to one
+  static constexpr double kBootPatience = 4;  // times readyS
+  static constexpr int kFaultyJobs = 2;       // different jobs failing on a machine in a row
 };
 
 }  // namespace rushtrestle::coordination
--- a/src/coordination/users.cpp
+++ b/src/coordination/users.cpp
@@ -39,8 +39,8 @@
 }
 
 bool Users::can_ever_run(const store::JobSpec& s) const {
-  const auto team = std::find_if(ctx_.settings.teams.begin(), ctx_.settings.teams.end(),
-                                 [&](const auto& t) { return t.name == s.team; });
+  const auto team =
+      std::find_if(ctx_.settings.teams.begin(), ctx_.settings.teams.end(), [&](const auto& t) { return t.name == s.team; });
   if (team == ctx_.settings.teams.end()) return false;
   store::Resources need;
   need.add(s.per_task, s.kind == JobKind::array ? 1 : s.tasks);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -45,8 +45,10 @@
     const auto settings = protocol::read_settings(config);
     const auto operators =
         operators_file.empty() ? store::OperatorSettings{} : protocol::read_operator_settings(operators_file, settings);
-    for (const auto& [name, address] : {std::pair{"serve_on", settings.listen}, {"peer_listen", settings.peer_listen},
-                                        {"external.cloud", settings.cloud}, {"external.state", settings.state}}) {
+    for (const auto& [name, address] : {std::pair{"serve_on", settings.listen},
+                                        {"peer_listen", settings.peer_listen},
+                                        {"external.cloud", settings.cloud},
+                                        {"external.state", settings.state}}) {
       try {
         transport::parse_address(address);
       } catch (const std::invalid_argument& e) {
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr int kMaxDepth = 16;        // the protocol's own messages nest five deep
-constexpr size_t kMaxText = 200;     // names; longer ones could not be keys of the state service either
+constexpr int kMaxDepth = 16;     // the protocol's own messages nest five deep
+constexpr size_t kMaxText = 200;  // names; longer ones could not be keys of the state service either
 constexpr uint32_t kMaxTasks = 100000;
 constexpr double kMaxAmount = 1e9;
 
@@ -150,8 +150,9 @@
 }
 
 Json peer_json(const PeerState& s) {
-  return {{"node", s.node},       {"incarnation", s.incarnation}, {"has_state", s.has_state}, {"synced", s.synced},
-          {"backlog", s.backlog}, {"parts", s.parts},             {"heard", s.heard}};
+  return {{"node", s.node},     {"incarnation", s.incarnation}, {"has_state", s.has_state},
+          {"synced", s.synced}, {"backlog", s.backlog},         {"parts", s.parts},
+          {"heard", s.heard}};
 }
 
 PeerState peer_from_json(const Json& j) {
@@ -270,9 +271,7 @@
     // `group` stands in the platform's word list, though not on its protocol page:
     // tasks that run together (docs/questions.md).
     if (kind != "array" && kind != "daemon" && kind != "group") throw Invalid{};
-    s.kind = kind == "array"    ? store::JobKind::array
-             : kind == "daemon" ? store::JobKind::service
-                                : store::JobKind::gang;
+    s.kind = kind == "array" ? store::JobKind::array : kind == "daemon" ? store::JobKind::service : store::JobKind::gang;
     static constexpr const char* kRanks[] = {"idle", "normal", "urgent", "prod"};
     const auto* r = std::find(std::begin(kRanks), std::end(kRanks), rank);
     if (r == std::end(kRanks)) throw Invalid{};
@@ -383,7 +382,11 @@
     headers = "Retry-After: " + std::to_string(std::max(1, static_cast<int>(std::ceil(a.retry_after_s)))) + "\r\n";
   if (!a.job) {
     if (a.status == 200) return {200, "", headers, "application/cbor"};
-    return cbor_answer(a.status, {{"error", a.status == 404 ? "no such job" : a.status == 422 ? "can never run" : "not now"}}, headers);
+    return cbor_answer(a.status,
+                       {{"error", a.status == 404   ? "no such job"
+                                  : a.status == 422 ? "can never run"
+                                                    : "not now"}},
+                       headers);
   }
   const auto& v = *a.job;
   const char* status = v.status == store::JobStatus::done        ? "done"
@@ -424,7 +427,9 @@
       }
       return state("POST", "/txn", {{"if", std::move(conditions)}, {"then", std::move(writes)}});
     }
-    HttpCall operator()(const ReadKey& r) const { return {Service::state, "", "GET", "/store/" + percent_encode(r.key), ""}; }
+    HttpCall operator()(const ReadKey& r) const {
+      return {Service::state, "", "GET", "/store/" + percent_encode(r.key), ""};
+    }
     HttpCall operator()(const ReadPage& r) const {
       std::string target = "/store?page=200&starts=" + percent_encode(r.prefix);
       if (!r.after.empty()) target += "&since=" + percent_encode(r.after);
@@ -454,7 +459,11 @@
               to_cbor({{"baton", c.token}, {"shift", c.session}, {"orders", commands_json(c.commands)}})};
     }
     HttpCall operator()(const TellPeer& p) const {
-      return {Service::peer, p.address, "POST", "/peer", peer_json(p.state).dump(-1, ' ', false, Json::error_handler_t::replace),
+      return {Service::peer,
+              p.address,
+              "POST",
+              "/peer",
+              peer_json(p.state).dump(-1, ' ', false, Json::error_handler_t::replace),
               "application/json"};
     }
     static HttpCall state(const char* method, std::string target, const Json& body) {
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -1,6 +1,7 @@
 #include "protocol/settings.h"
 
 #include <sfsexp/sexp.h>
+#include <toml++/toml.h>
 
 #include <algorithm>
 #include <charconv>
@@ -9,7 +10,6 @@
 #include <memory>
 #include <set>
 #include <sstream>
-#include <toml++/toml.h>
 
 namespace rushtrestle::protocol {
 
@@ -96,7 +96,8 @@
   std::set<std::string> names{s.node};
   for (const auto& p : root.list("peers")) {
     s.peers.push_back({p.text("node"), p.text("area"), p.text("peer_addr")});
-    if (!names.insert(s.peers.back().node).second) throw SettingsError("peers: node '" + s.peers.back().node + "' stands twice");
+    if (!names.insert(s.peers.back().node).second)
+      throw SettingsError("peers: node '" + s.peers.back().node + "' stands twice");
   }
   const Table services = root.sub("external");
   s.cloud = services.text("cloud");
@@ -124,7 +125,8 @@
         return std::string();  // not every kind of aim has a class
       }
     };
-    s.objectives.push_back({text_or_empty("kind"), text_or_empty("class"), o.number_or("within_s", 0), o.number_or("share", 0)});
+    s.objectives.push_back(
+        {text_or_empty("kind"), text_or_empty("class"), o.number_or("within_s", 0), o.number_or("share", 0)});
   }
   const Table w = d.sub("workers");
   s.report_s = w.positive("report_s");
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -72,9 +72,9 @@
 }  // namespace
 
 Json to_json(const JobSpec& s) {
-  Json j = {{"id", s.id},          {"class", s.job_class},     {"team", s.team},
-            {"tasks", s.tasks},    {"cpus", s.per_task.cpus},  {"mem", s.per_task.memory_gb},
-            {"image", s.image},    {"gb", s.image_gb},         {"rank", static_cast<int>(s.rank)}};
+  Json j = {{"id", s.id},       {"class", s.job_class},    {"team", s.team},
+            {"tasks", s.tasks}, {"cpus", s.per_task.cpus}, {"mem", s.per_task.memory_gb},
+            {"image", s.image}, {"gb", s.image_gb},        {"rank", static_cast<int>(s.rank)}};
   if (s.kind != JobKind::array) j["kind"] = static_cast<int>(s.kind);
   if (s.per_task.gpus > 0) j["gpus"] = s.per_task.gpus;
   if (s.types) j["types"] = *s.types;
@@ -147,8 +147,8 @@
 }
 
 Json to_json(const MachineRecord& r) {
-  Json j = {{"id", r.id},     {"type", r.type}, {"zone", r.zone},
-            {"part", r.part}, {"phase", static_cast<int>(r.phase)}, {"at", r.since}};
+  Json j = {{"id", r.id},   {"type", r.type}, {"zone", r.zone}, {"part", r.part}, {"phase", static_cast<int>(r.phase)},
+            {"at", r.since}};
   if (!r.address.empty()) j["addr"] = r.address;
   if (r.spot) j["spot"] = true;
   if (r.next_part >= 0) j["next"] = r.next_part;
@@ -173,16 +173,20 @@
 
 Json to_json(const HolderRecord& r) { return {{"node", r.node}, {"inc", r.incarnation}}; }
 
-HolderRecord holder_from_json(const Json& j) {
-  return {j.at("node").get<std::string>(), j.at("inc").get<std::string>()};
-}
+HolderRecord holder_from_json(const Json& j) { return {j.at("node").get<std::string>(), j.at("inc").get<std::string>()}; }
 
 Json to_json(const std::vector<MachineType>& types) {
   Json j = Json::array();
   for (const auto& t : types)
-    j.push_back({{"name", t.name},     {"cpus", t.size.cpus},      {"gpus", t.size.gpus},
-                 {"mem", t.size.memory_gb}, {"cache", t.cache_gb}, {"fetch", t.fetch_gb_per_s},
-                 {"price", t.price},   {"spot", t.spot_price},     {"boot", t.boot_s},
+    j.push_back({{"name", t.name},
+                 {"cpus", t.size.cpus},
+                 {"gpus", t.size.gpus},
+                 {"mem", t.size.memory_gb},
+                 {"cache", t.cache_gb},
+                 {"fetch", t.fetch_gb_per_s},
+                 {"price", t.price},
+                 {"spot", t.spot_price},
+                 {"boot", t.boot_s},
                  {"zones", t.zones}});
   return j;
 }
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -196,8 +196,9 @@
     no_delay(fd);
     if (connections_.size() >= limits_.connections) {
       // Room is made by the connection idle for longest; if all are busy, the newcomer yields.
-      auto victim = std::find_if(by_age_.begin(), by_age_.end(),
-                                 [&](int f) { return connections_.at(f)->exchange == 0 && connections_.at(f)->parser.idle(); });
+      auto victim = std::find_if(by_age_.begin(), by_age_.end(), [&](int f) {
+        return connections_.at(f)->exchange == 0 && connections_.at(f)->parser.idle();
+      });
       if (victim == by_age_.end()) {
         close(fd);
         continue;
@@ -254,7 +255,8 @@
   Connection& c = *connections_.at(it->second);
   exchanges_.erase(it);
   c.exchange = 0;
-  c.out += "HTTP/1.1 " + std::to_string(status) + " " + reason(status) + "\r\nContent-Length: " + std::to_string(body.size());
+  c.out +=
+      "HTTP/1.1 " + std::to_string(status) + " " + reason(status) + "\r\nContent-Length: " + std::to_string(body.size());
   if (!body.empty()) c.out += std::string("\r\nContent-Type: ") + content_type;
   if (!c.keep_alive) c.out += "\r\nConnection: close";
   c.out += "\r\n" + extra + "\r\n" + body;
@@ -331,8 +333,8 @@
   return raw;
 }
 
-void HttpClient::request(const Address& to, const std::string& method, const std::string& target,
-                         const std::string& body, const char* content_type, double timeout_s, Done done) {
+void HttpClient::request(const Address& to, const std::string& method, const std::string& target, const std::string& body,
+                         const char* content_type, double timeout_s, Done done) {
   Connection* c = acquire(to);
   if (!c) {
     loop_.after(0, [done = std::move(done)] { done(0, {}); });
--- a/src/transport/node.cpp
+++ b/src/transport/node.cpp
@@ -29,23 +29,23 @@
 
 Node::Node(Loop& loop, const store::Settings& settings, const store::OperatorSettings& operators, LogLine::Level log_level)
     : loop_(loop),
-      core_(settings, operators,
-            [] {
-              std::random_device device;
-              return new_incarnation(device);
-            }(),
-            std::random_device{}(), log_level),
+      core_(
+          settings, operators,
+          [] {
+            std::random_device device;
+            return new_incarnation(device);
+          }(),
+          std::random_device{}(), log_level),
       state_(parse_address(settings.state)),
       cloud_(parse_address(settings.cloud)),
       client_(loop, share_of(settings, kClientShare), reply_limit(settings)) {
   const double idle_s = settings.lease_s * 8;
-  users_ = std::make_unique<HttpServer>(
-      loop, parse_address(settings.listen), HttpServer::Limits{share_of(settings, kServerShare), protocol::kBodyLimit, idle_s},
-      [this](ExchangeId id, Message&& m) { from_users(id, std::move(m)); });
-  peers_ = std::make_unique<HttpServer>(
-      loop, parse_address(settings.peer_listen),
-      HttpServer::Limits{share_of(settings, kPeerShare), protocol::kBodyLimit, idle_s},
-      [this](ExchangeId id, Message&& m) { from_peers(id, std::move(m)); });
+  users_ = std::make_unique<HttpServer>(loop, parse_address(settings.listen),
+                                        HttpServer::Limits{share_of(settings, kServerShare), protocol::kBodyLimit, idle_s},
+                                        [this](ExchangeId id, Message&& m) { from_users(id, std::move(m)); });
+  peers_ = std::make_unique<HttpServer>(loop, parse_address(settings.peer_listen),
+                                        HttpServer::Limits{share_of(settings, kPeerShare), protocol::kBodyLimit, idle_s},
+                                        [this](ExchangeId id, Message&& m) { from_peers(id, std::move(m)); });
   loop_.each_turn([this] { turn(); });
   schedule_tick();
 }
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -10,11 +10,13 @@
 using store::Json;
 
 Json valid_job() {
-  return {{"id", "job-000412"}, {"berth", "train"},  {"crew", "vision"},  {"sort", "array"},     {"rank", "urgent"},
-          {"chores", 16},       {"cores", 8.0},      {"cards", 1.0},      {"memoryGb", 64.0},    {"bundle", "img-07"},
-          {"imageGb", 6.2},     {"breeds", Json::array({"g8"})}, {"yard", nullptr},   {"oneZone", true},     {"scatter", false},
-          {"loaners", true},    {"guessS", 240.0},   {"snapshotS", 30.0}, {"stowS", 4.0},        {"dueS", 900.0},
-          {"later", Json::object({{"x", 1}})}};
+  return {{"id", "job-000412"}, {"berth", "train"}, {"crew", "vision"},
+          {"sort", "array"},    {"rank", "urgent"}, {"chores", 16},
+          {"cores", 8.0},       {"cards", 1.0},     {"memoryGb", 64.0},
+          {"bundle", "img-07"}, {"imageGb", 6.2},   {"breeds", Json::array({"g8"})},
+          {"yard", nullptr},    {"oneZone", true},  {"scatter", false},
+          {"loaners", true},    {"guessS", 240.0},  {"snapshotS", 30.0},
+          {"stowS", 4.0},       {"dueS", 900.0},    {"later", Json::object({{"x", 1}})}};
 }
 
 int status_of(const std::string& method, const std::string& target, const std::string& body, bool too_large = false) {
@@ -37,11 +39,14 @@
 
 TEST(Codec, RefusesEachInvalidField) {
   const std::vector<std::pair<const char*, Json>> bad = {
-      {"id", "task-1"},      {"id", "job-"},       {"id", "job-a/b"},   {"id", 7},           {"chores", 0},
-      {"chores", 100001},    {"chores", 1.5},      {"chores", -1},      {"cores", -1.0},     {"cores", "8"},
-      {"cards", 1e12},       {"sort", "cron"},     {"rank", "highest"}, {"breeds", "g8"},    {"breeds", Json::array({1})},
-      {"oneZone", 1},        {"guessS", -5.0},     {"imageGb", nullptr}, {"bundle", ""},     {"crew", nullptr},
-      {"memoryGb", nullptr}, {"yard", 3},          {"dueS", "soon"},    {"berth", std::string(300, 'x')}};
+      {"id", "task-1"},    {"id", "job-"},    {"id", "job-a/b"},
+      {"id", 7},           {"chores", 0},     {"chores", 100001},
+      {"chores", 1.5},     {"chores", -1},    {"cores", -1.0},
+      {"cores", "8"},      {"cards", 1e12},   {"sort", "cron"},
+      {"rank", "highest"}, {"breeds", "g8"},  {"breeds", Json::array({1})},
+      {"oneZone", 1},      {"guessS", -5.0},  {"imageGb", nullptr},
+      {"bundle", ""},      {"crew", nullptr}, {"memoryGb", nullptr},
+      {"yard", 3},         {"dueS", "soon"},  {"berth", std::string(300, 'x')}};
   for (const auto& [field, value] : bad) {
     Json j = valid_job();
     j[field] = value;
@@ -136,10 +141,12 @@
 Json as_wire(const WorkerReport& r) {
   static const char* states[] = {"pulling", "running", "saving", "ended"};
   static const char* causes[] = {"", "done", "stopped", "error", "full", "in_use", "no_such"};
-  Json j = {{"rig", r.machine}, {"addr", r.address}, {"breed", r.type}, {"yard", r.zone}, {"loaners", r.spot},
-            {"shift", r.session}, {"tally", r.seq}, {"baton", r.token}, {"chores", Json::array()}};
+  Json j = {{"rig", r.machine},   {"addr", r.address}, {"breed", r.type},  {"yard", r.zone},         {"loaners", r.spot},
+            {"shift", r.session}, {"tally", r.seq},    {"baton", r.token}, {"chores", Json::array()}};
   for (const auto& t : r.tasks) {
-    Json c = {{"chore", t.job + "/" + std::to_string(t.task)}, {"try", t.attempt}, {"status", states[static_cast<int>(t.state)]},
+    Json c = {{"chore", t.job + "/" + std::to_string(t.task)},
+              {"try", t.attempt},
+              {"status", states[static_cast<int>(t.state)]},
               {"kept", t.saved}};
     if (t.state == TaskState::exited) c["cause"] = causes[static_cast<int>(t.cause)];
     j["chores"].push_back(c);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -128,10 +128,11 @@
   Loop loop;
   HttpClient client(loop, 8, 1024);
   int status = -1;
-  client.request(parse_address("127.0.0.1:" + std::to_string(free_port())), "GET", "/", "", "", 5, [&](int s, std::string&&) {
-    status = s;
-    loop.stop();
-  });
+  client.request(parse_address("127.0.0.1:" + std::to_string(free_port())), "GET", "/", "", "", 5,
+                 [&](int s, std::string&&) {
+                   status = s;
+                   loop.stop();
+                 });
   loop.run();
   EXPECT_EQ(status, 0);
 }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -40,7 +40,9 @@
   for (int n = 0; n < options_.nodes; ++n) start_node(n);
 }
 
-void World::at(double t, std::function<void()> fn) { events_.emplace(std::make_pair(std::max(t, now_), ++serial_), std::move(fn)); }
+void World::at(double t, std::function<void()> fn) {
+  events_.emplace(std::make_pair(std::max(t, now_), ++serial_), std::move(fn));
+}
 
 void World::run_until(double t) {
   while (!events_.empty() && events_.begin()->first.first <= t) {
@@ -228,9 +230,7 @@
   } else if (c.body.index() < CallBody(GetTypes{}).index()) {
     send(name, "state", [this, n, back, call = c] { back("state", at_state(n, call)); });
   } else {
-    send(name, "cloud", [this, back, call = c] {
-      at(now_ + 0.2, [this, back, call] { back("cloud", at_cloud(call)); });
-    });
+    send(name, "cloud", [this, back, call = c] { at(now_ + 0.2, [this, back, call] { back("cloud", at_cloud(call)); }); });
   }
 }
 
@@ -633,41 +633,49 @@
 }
 
 void World::user_submit(const std::string& id, int tries) {
-  user_ask(id, [this, id](RequestId r) { return SubmitJob{r, jobs_.at(id).spec}; },
-           [this, id, tries](std::optional<AnswerUser> a) {
-             Job& j = jobs_.at(id);
-             if (a && (a->status == 200 || a->status == 201)) {
-               j.accepted = true;
-               at(now_ + 1, [this, id] { user_poll(id); });
-             } else if (a && (a->status == 400 || a->status == 422)) {
-               if (j.accepted) fail("forgotten: repeated submission of " + id + " refused");
-             } else if (tries < 60) {
-               at(now_ + 1, [this, id, tries] { user_submit(id, tries + 1); });
-             }
-           });
+  user_ask(
+      id,
+      [this, id](RequestId r) {
+        return SubmitJob{r, jobs_.at(id).spec};
+      },
+      [this, id, tries](std::optional<AnswerUser> a) {
+        Job& j = jobs_.at(id);
+        if (a && (a->status == 200 || a->status == 201)) {
+          j.accepted = true;
+          at(now_ + 1, [this, id] { user_poll(id); });
+        } else if (a && (a->status == 400 || a->status == 422)) {
+          if (j.accepted) fail("forgotten: repeated submission of " + id + " refused");
+        } else if (tries < 60) {
+          at(now_ + 1, [this, id, tries] { user_submit(id, tries + 1); });
+        }
+      });
 }
 
 void World::user_poll(const std::string& id) {
   // Answers may cross: only what was sent after an older answer arrived has to be as new.
   const bool was_done = jobs_.at(id).done_told, was_cancelled = jobs_.at(id).cancel_told;
-  user_ask(id, [id](RequestId r) { return QueryJob{r, id}; },
-           [this, id, was_done, was_cancelled](std::optional<AnswerUser> a) {
-             Job& j = jobs_.at(id);
-             if (a && a->status == 404) fail("forgotten: " + id + " gets 404");
-             if (a && a->status == 200) {
-               const auto status = a->job->status;
-               j.last_told = status == store::JobStatus::done ? "done" : status == store::JobStatus::open ? "open" : "cancelled";
-               if (status == store::JobStatus::done) {
-                 j.done_told = true;
-                 if (j.completed.size() != j.spec.tasks) fail("not_done: " + id);
-                 if (was_cancelled) fail("went_back: " + id + " cancelled, then done");
-               } else if (was_done || (was_cancelled && status == store::JobStatus::open)) {
-                 fail("went_back: " + id);
-               }
-               if (status == store::JobStatus::cancelled && !j.user_cancelled) fail("went_back: " + id + " nobody cancelled");
-             }
-             at(now_ + 5, [this, id] { user_poll(id); });
-           });
+  user_ask(
+      id,
+      [id](RequestId r) {
+        return QueryJob{r, id};
+      },
+      [this, id, was_done, was_cancelled](std::optional<AnswerUser> a) {
+        Job& j = jobs_.at(id);
+        if (a && a->status == 404) fail("forgotten: " + id + " gets 404");
+        if (a && a->status == 200) {
+          const auto status = a->job->status;
+          j.last_told = status == store::JobStatus::done ? "done" : status == store::JobStatus::open ? "open" : "cancelled";
+          if (status == store::JobStatus::done) {
+            j.done_told = true;
+            if (j.completed.size() != j.spec.tasks) fail("not_done: " + id);
+            if (was_cancelled) fail("went_back: " + id + " cancelled, then done");
+          } else if (was_done || (was_cancelled && status == store::JobStatus::open)) {
+            fail("went_back: " + id);
+          }
+          if (status == store::JobStatus::cancelled && !j.user_cancelled) fail("went_back: " + id + " nobody cancelled");
+        }
+        at(now_ + 5, [this, id] { user_poll(id); });
+      });
 }
 
 void World::cancel(const std::string& id, double at_s) {
@@ -679,18 +687,23 @@
 }
 
 void World::user_cancel(const std::string& id, int tries) {
-  user_ask(id, [id](RequestId r) { return CancelJob{r, id}; }, [this, id, tries](std::optional<AnswerUser> a) {
-    Job& j = jobs_.at(id);
-    if (a && a->status == 404) fail("forgotten: cancellation of " + id + " gets 404");
-    if (a && a->status == 200) {
-      if (a->job->status == store::JobStatus::cancelled && !j.cancel_told) {
-        j.cancel_told = true;
-        j.cancel_told_at = now_;
-      }
-      return;
-    }
-    if (tries < 60) at(now_ + 1, [this, id, tries] { user_cancel(id, tries + 1); });
-  });
+  user_ask(
+      id,
+      [id](RequestId r) {
+        return CancelJob{r, id};
+      },
+      [this, id, tries](std::optional<AnswerUser> a) {
+        Job& j = jobs_.at(id);
+        if (a && a->status == 404) fail("forgotten: cancellation of " + id + " gets 404");
+        if (a && a->status == 200) {
+          if (a->job->status == store::JobStatus::cancelled && !j.cancel_told) {
+            j.cancel_told = true;
+            j.cancel_told_at = now_;
+          }
+          return;
+        }
+        if (tries < 60) at(now_ + 1, [this, id, tries] { user_cancel(id, tries + 1); });
+      });
 }
 
 std::optional<std::string> World::told(const std::string& job) const { return jobs_.at(job).last_told; }
@@ -741,7 +754,8 @@
       if (t.report.state != TaskState::running && t.report.state != TaskState::saving) continue;
       const Job& j = jobs_.at(key.first);
       used[j.spec.team].add(j.spec.per_task);
-      if (j.cancel_told && now_ - j.cancel_told_at > settings_.cancel_s && now_ >= w.hang_until) fail("ran_cancelled: " + key.first);
+      if (j.cancel_told && now_ - j.cancel_told_at > settings_.cancel_s && now_ >= w.hang_until)
+        fail("ran_cancelled: " + key.first);
     }
   }
   for (const auto& t : settings_.teams)
--- a/tests/world.h
+++ b/tests/world.h
@@ -39,8 +39,8 @@
   // ---- troubles ----
   void kill_node(int n, double back_after_s);
   void state_outage(double for_s);
-  void refuse_state(int node, double for_s);       // only this node is refused
-  void limit_state(double for_s);                  // every second transaction gets 429
+  void refuse_state(int node, double for_s);  // only this node is refused
+  void limit_state(double for_s);             // every second transaction gets 429
   void cut(const std::string& a, const std::string& b, double for_s, bool hold, bool one_way = false);
   void kill_machine(size_t pick);
   void hang_machine(size_t pick, double for_s);
@@ -131,7 +131,8 @@
   void user_submit(const std::string& id, int tries);
   void user_poll(const std::string& id);
   void user_cancel(const std::string& id, int tries);
-  void user_ask(const std::string& id, std::function<Command(RequestId)> make, std::function<void(std::optional<AnswerUser>)> then);
+  void user_ask(const std::string& id, std::function<Command(RequestId)> make,
+                std::function<void(std::optional<AnswerUser>)> then);
   void check_rules();
   void check_start(const Worker& w, const std::string& job, uint32_t task);
   void fail(const std::string& what);
