--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -548,6 +548,12 @@
   // Peers that hear it, or many silent at once, point to the network, not to the machine.
   const bool doubtful = mass_silence(m) || (lost_both && members_.peer_hears(m.id));
   if (doubtful && std::max(silent, deaf) < ctx_.tune.mass_silence_limit_s) return;
+  // However sure it looks, only a few go at a time: a cut that peers don't see (one of them just
+  // restarted, say) would else cost a whole zone's machines at the same moment.
+  std::erase_if(condemned_at_, [&](double t) { return ctx_.now - t > ctx_.tune.silence_limit_s; });
+  const double most = std::max(3.0, static_cast<double>(machines_.size()) * Tunables::kCondemnShare);
+  if (m.condemning || static_cast<double>(condemned_at_.size()) >= most) return;
+  condemned_at_.push_back(ctx_.now);
   condemn(m, lost_both ? "silent" : "does not hear");
 }
 
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -121,6 +121,7 @@
   std::unordered_map<std::string, double> heard_;
   std::set<std::string> touched_;  // machines to command at the end of the batch
   bool want_schedule_ = false;
+  std::vector<double> condemned_at_;  // for silence, of late
   double next_schedule_ = 0, next_scan_ = 0, next_health_ = 0;
   double cpu_per_gpu_ = 0;
   Reserve reserve_;
--- a/src/coordination/tunables.h
+++ b/src/coordination/tunables.h
@@ -43,9 +43,10 @@
   // How far the budget of writes must stand for each priority, in seconds' worth. Users wait for the first
   // two, so these may overdraw: other nodes seldom use all of theirs, and a 429 costs a tenth of a second.
   static constexpr double kWriteFloor[] = {-1.0, -0.5, 0.0, 0.4};
-  static constexpr double kMassShare = 0.7;   // a cut silences all of a zone; more silent than this share points to one
-  static constexpr double kBootPatience = 4;  // times readyS
-  static constexpr int kFaultyJobs = 2;       // different jobs failing on a machine in a row
+  static constexpr double kMassShare = 0.4;      // a cut silences all of a zone; more silent than this share points to one
+  static constexpr double kCondemnShare = 0.15;  // of a node's machines, condemned for silence in one silence limit
+  static constexpr double kBootPatience = 4;     // times readyS
+  static constexpr int kFaultyJobs = 2;          // different jobs failing on a machine in a row
 };
 
 }  // namespace rushtrestle::coordination
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -120,6 +120,22 @@
   EXPECT_TRUE(w.broken.empty()) << first(w);
 }
 
+// A controller took a part over while a zone's machines could not reach it, and condemned them all at
+// the same instant (incident inc-e85d). They come back when the cut ends: few may be gone by then.
+TEST(Core, ACutToManyMachinesDoesNotSetOffMassDeletion) {
+  World w({});
+  for (int i = 0; i < 8; ++i) w.submit(spec("job-" + std::to_string(i), store::JobKind::service, 4, 4, 0), 3);
+  w.run_until(50);
+  const size_t before = w.machines_up();
+  ASSERT_GE(before, 8u);
+  for (size_t i = 0; i < before; i += 2) w.cut_machine(i, 20, true, false);
+  w.run_until(71);
+  EXPECT_GE(w.machines_up() + 4, before);
+  w.run_until(140);
+  for (int i = 0; i < 8; ++i) EXPECT_EQ(w.running("job-" + std::to_string(i)), 4u) << i;
+  EXPECT_TRUE(w.broken.empty()) << first(w);
+}
+
 TEST(Core, ANodeThatAloneLosesTheStateServiceYields) {
   World w({});
   w.submit(spec("job-2", store::JobKind::service, 4, 2, 0), 3);
