--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -514,6 +514,11 @@
       text += ", " + name + " " + std::to_string(n.first) + " and " + std::to_string(n.second) + " on spot machines";
     ctx_.info(std::move(text));
   }
+  // The same room is held here as the owner will hold, or what it turns away would find nothing rented.
+  auto forecasts = demand_.expected(part);
+  for (const auto& f : forecasts) keep_for(fit.reserve, f.shape, f.jobs * static_cast<double>(f.shape.tasks));
+  for (const auto* r : jobs)
+    keep_for(fit.reserve, r->spec, r->spec.tasks - r->done.size() - static_cast<double>(r->placed.size()));
   double running_arrays = 0, backlog = 0;
   for (const auto& id : model_.live_jobs()) {
     const auto& r = model_.job(id)->record;
@@ -542,8 +547,11 @@
     for (uint32_t i = 0; i < need; ++i)
       if (!put(r->spec, zones, true, waits, turn_comes)) break;
   }
-  // Spare room for what arrives while a machine boots.
-  for (const auto& f : demand_.expected(part))
+  // Spare room for what arrives while a machine boots; first for what can run in fewest places.
+  fit.reserve = {};
+  std::stable_sort(forecasts.begin(), forecasts.end(),
+                   [](const auto& a, const auto& b) { return a.shape.per_task.gpus > b.shape.per_task.gpus; });
+  for (const auto& f : forecasts)
     for (int i = 0; i < f.jobs; ++i) {
       ZoneCounts zones;
       for (uint32_t t = 0; t < f.shape.tasks; ++t)
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -739,16 +739,11 @@
 void Owner::reserve_for_arrivals(int part, const std::vector<std::string>& waiting_ids) {
   reserve_ = {};
   production_waits_ = false;
-  const auto count = [&](const store::JobSpec& s, double tasks) {
-    if (s.per_task.gpus <= 0 || s.spot) return;
-    reserve_.gpus += s.per_task.gpus * tasks;
-    reserve_.gpus_per_task = std::max(reserve_.gpus_per_task, s.per_task.gpus);
-  };
-  for (const auto& f : demand_.expected(part)) count(f.shape, f.jobs * static_cast<double>(f.shape.tasks));
+  for (const auto& f : demand_.expected(part)) keep_for(reserve_, f.shape, f.jobs * static_cast<double>(f.shape.tasks));
   for (const auto& id : waiting_ids) {
     const auto& r = jobs_.at(id).cur;
     production_waits_ |= !preemptible(r);
-    count(r.spec, r.spec.tasks - r.done.size() - static_cast<double>(r.placed.size()));
+    keep_for(reserve_, r.spec, r.spec.tasks - r.done.size() - static_cast<double>(r.placed.size()));
   }
 }
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -30,6 +30,12 @@
          std::any_of(it->second.begin(), it->second.end(), [&](const Cached& c) { return c.image == image; });
 }
 
+void keep_for(Reserve& reserve, const JobSpec& spec, double tasks) {
+  if (spec.per_task.gpus <= 0 || spec.spot) return;
+  reserve.gpus += spec.per_task.gpus * tasks;
+  reserve.gpus_per_task = std::max(reserve.gpus_per_task, spec.per_task.gpus);
+}
+
 bool type_allowed(const JobSpec& spec, const std::string& type) {
   return !spec.types || std::find(spec.types->begin(), spec.types->end(), type) != spec.types->end();
 }
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -44,6 +44,9 @@
   double gpus_per_task = 1;  // in pieces of this size
 };
 
+/// Adds tasks that are waited for, if they need GPUs and can't use spot machines.
+void keep_for(Reserve& reserve, const store::JobSpec& spec, double tasks);
+
 struct Fit {
   double cpu_per_gpu = 0;  // what tasks with GPUs take; kept free beside free GPUs
   const ImageCaches* images = nullptr;
