--- a/tests/requeue_test.cpp
+++ b/tests/requeue_test.cpp
@@ -109,7 +109,7 @@
   EXPECT_TRUE(w.broken.empty()) << w.broken.front();
 }
 
-TEST(Requeue, CommitsOnlyForAHigherRankThatFitsAndThenCoolsDown) {
+TEST(Requeue, AContenderThatNeverFitsEvictsNothing) {
   testing::World w(tight());
   w.submit(filler("job-1", 2, 40), 1);
   auto big = filler("job-2", 3, 20);  // never fits whole: stays out, and evicts nothing
