Empty machines whose arrays end by themselves; start where the image is

Where a fetch takes half of the objective's time it now outweighs packing, and CPUs beside GPUs may be taken for it.

Ruled out: budgets of the state service (accept to placement 8 to 50 ms), processor time.

--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -10,7 +10,7 @@
       members_(ctx_, model_, link_),
       demand_(ctx_, model_, members_),
       owner_(ctx_, model_, link_, members_, images_, demand_),
-      leader_(ctx_, model_, link_, members_, demand_),
+      leader_(ctx_, model_, link_, members_, images_, demand_),
       users_(ctx_, model_, link_, members_) {
   ctx_.log_level = log_level;
   link_.on_lease_lost = [this] { members_.lease_lost(); };
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -23,6 +23,7 @@
   refused_.clear();
   idle_since_.clear();
   offered_at_.clear();
+  attempts_seen_.clear();
   deleted_.clear();
   fetching_types_ = listing_ = deleting_ = listed_once_ = false;
 }
@@ -346,54 +347,109 @@
   }
 }
 
+namespace {
+// A start counts for its user once it has lasted half a minute, by the protocol; twice that is settled.
+constexpr double kSettled_s = 60;
+
+// May be stopped without loss of work.
+bool can_move(const store::JobSpec& spec) { return spec.kind == store::JobKind::service || spec.checkpoint_s > 0; }
+}  // namespace
+
+void Leader::note_attempts() {
+  std::erase_if(attempts_seen_, [&](const auto& entry) { return !model_.live_jobs().count(entry.first); });
+  for (const auto& id : model_.live_jobs()) {
+    const uint64_t attempts = model_.job(id)->record.attempts;
+    auto& seen = attempts_seen_[id];
+    if (seen.empty() || seen.back().second != attempts) seen.emplace_back(ctx_.now, attempts);
+    while (seen.size() > 1 && ctx_.now - seen[1].first > kSettled_s) seen.pop_front();
+  }
+}
+
+bool Leader::settled(const store::JobRecord& r, const store::Placement& p) const {
+  const auto it = attempts_seen_.find(r.spec.id);
+  return p.running && !p.stopping && it != attempts_seen_.end() && ctx_.now - it->second.front().first > kSettled_s &&
+         p.attempt <= it->second.front().second;
+}
+
 // Services leave holes that nothing fills: the machine that pays least for itself is emptied, if what it
 // holds, what waits and what is expected all fit on the others. A replica is away for the fraction of a
-// second that its stop and start take; so only replicas that have run for a while are moved, one machine
-// a part at a time.
-void Leader::consolidate(int part) {
-  constexpr double kMostUsed = 0.4;
-  for (const auto& [id, m] : model_.machines())
-    if (m.record.part == part && m.record.phase == MachinePhase::offered) return;
+// second that its stop and start take; so only replicas that have run for a while are moved, off a few
+// machines a part at a time. Work that would be lost is left to its end, with nothing new beside it.
+void Leader::consolidate(int part, const std::vector<Want>& wants) {
+  constexpr double kMostUsed = 0.6;
+  constexpr size_t kAtOnce = 10;  // one of so many of the part's machines at a time
+  constexpr size_t kTries = 3;
+  size_t machines = 0, leaving = 0;
+  for (const auto& [id, m] : model_.machines()) {
+    if (m.record.part != part || m.record.doomed()) continue;
+    ++machines;
+    if (m.record.phase == MachinePhase::offered) ++leaving;
+  }
+  if (leaving > machines / kAtOnce) return;
   struct Load {
     store::Resources used;
     bool movable = true;
+    std::vector<const store::JobSpec*> fetched;  // tasks whose image takes long to fetch
   };
   std::map<std::string, Load> loads;
+  const double long_fetch_s = ctx_.settings.report_s / 2;
   for (const auto& id : model_.live_jobs()) {
     const auto& r = model_.job(id)->record;
     if (members_.part_of_team(r.spec.team) != part) continue;
-    // A start counts for its user once it has lasted half a minute; and work that can't save is not stopped.
-    const bool settled = r.status == JobStatus::open && ctx_.wall - r.last_start > 2 * kLeastCharge_s &&
-                         (r.spec.kind == store::JobKind::service || r.spec.checkpoint_s > 0);
     for (const auto& p : r.placed) {
       auto& load = loads[p.machine];
       load.used.add(r.spec.per_task);
-      load.movable &= settled && p.running && !p.stopping;
+      load.movable &= r.status == JobStatus::open && (can_move(r.spec) ? settled(r, p) : p.running);
+      if (can_move(r.spec)) load.fetched.push_back(&r.spec);
     }
   }
-  const MachineRecord* best = nullptr;
-  double best_saving = 0;
+  // A replica must not be away for as long as its image takes: another machine has to hold it, with room.
+  const auto has_target = [&](const store::JobSpec& spec, const std::string& from) {
+    for (const auto& [id, m] : model_.machines()) {
+      const auto* type = model_.type(m.record.type);
+      if (!type || id == from || m.record.part != part || !m.record.usable() || !kind_allowed(spec, m.record.spot) ||
+          !type_allowed(spec, m.record.type))
+        continue;
+      if (!images_.has(id, spec.image) && spec.image_gb / std::max(0.01, type->fetch_gb_per_s) > long_fetch_s) continue;
+      store::Resources free = type->size;
+      if (const auto load = loads.find(id); load != loads.end()) free.add(load->second.used, -1);
+      if (spec.per_task.fits(free)) return true;
+    }
+    return false;
+  };
+  std::vector<std::pair<double, const MachineRecord*>> candidates;  // by what they cost and are not used for
   for (const auto& [id, load] : loads) {
     const auto* m = model_.machine(id);
     const auto* type = m ? model_.type(m->record.type) : nullptr;
     if (!type || !load.movable || !m->record.usable() || m->record.part != part) continue;
+    const Key key{m->record.type, m->record.zone, m->record.spot};
+    if (std::any_of(wants.begin(), wants.end(), [&](const Want& w) { return !(w.key < key) && !(key < w.key); })) continue;
     const double share = std::max(type->size.cpus > 0 ? load.used.cpus / type->size.cpus : 0,
                                   type->size.gpus > 0 ? load.used.gpus / type->size.gpus : 0);
     const double saving = (m->record.spot ? type->spot_price : type->price) * (1 - share);
-    if (share <= kMostUsed && saving > best_saving) {
-      best = &m->record;
-      best_saving = saving;
-    }
+    if (share <= kMostUsed) candidates.emplace_back(saving, &m->record);
+  }
+  std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+  const auto needed = [&](const std::vector<Want>& of) {
+    int n = 0;
+    for (const auto& w : of)
+      if (w.part == part) n += w.urgent + w.spare;
+    return n;
+  };
+  for (size_t i = 0; i < candidates.size() && i < kTries; ++i) {
+    const std::string& id = candidates[i].second->id;
+    const auto& fetched = loads.at(id).fetched;
+    if (!std::all_of(fetched.begin(), fetched.end(), [&](const auto* spec) { return has_target(*spec, id); })) continue;
+    std::vector<Want> then;
+    std::vector<std::string> unused;
+    std::vector<Unmet> unmet;
+    plan_part(part, then, unused, unmet, id);
+    if (needed(then) > needed(wants) || !unmet.empty()) continue;
+    ctx_.counters["machines_consolidated"]++;
+    ctx_.info("machine " + id + " is emptied: its work fits on the others");
+    offer(id, -1, true);
+    return;
   }
-  if (!best) return;
-  std::vector<Want> wants;
-  std::vector<std::string> unused;
-  std::vector<Unmet> unmet;
-  plan_part(part, wants, unused, unmet, best->id);
-  if (!wants.empty() || !unmet.empty()) return;
-  ctx_.counters["machines_consolidated"]++;
-  ctx_.info("machine " + best->id + " is emptied: its work fits on the others");
-  offer(best->id, -1, true);
 }
 
 void Leader::plan_part(int part, std::vector<Want>& wants, std::vector<std::string>& unused, std::vector<Unmet>& unmet,
@@ -411,7 +467,7 @@
     uint32_t displaced = 0;
     for (const auto& p : r.placed) {
       if (p.machine == without) {
-        ++displaced;
+        if (can_move(r.spec)) ++displaced;
         continue;
       }
       const auto* m = model_.machine(p.machine);
@@ -532,7 +588,7 @@
     ZoneCounts zones;
     uint32_t placed = 0;
     for (const auto& p : r->placed) {
-      if (p.machine == without) continue;
+      if (p.machine == without && can_move(r->spec)) continue;
       ++placed;
       if (const auto* m = model_.machine(p.machine)) zones[m->record.zone]++;
     }
@@ -570,6 +626,7 @@
   std::vector<std::string> unused;
   std::vector<Unmet> unmet;
   for (int part = 0; part < members_.parts(); ++part) plan_part(part, wants, unused, unmet);
+  const auto planned = wants;
 
   // The design's sharing: free machines go from parts that don't need them to parts that wait.
   if (ctx_.now >= next_share_) {
@@ -599,8 +656,10 @@
 
   if (ctx_.operators.consolidate && ctx_.now >= next_consolidation_ && ctx_.now - led_since_ > ctx_.settings.lease_s) {
     next_consolidation_ = ctx_.now + ctx_.operators.share_period_s;
-    if (wants.empty() && unmet.empty())
-      for (int part = 0; part < members_.parts(); ++part) consolidate(part);
+    note_attempts();
+    for (int part = 0; part < members_.parts(); ++part)
+      if (std::none_of(unmet.begin(), unmet.end(), [&](const Unmet& u) { return u.part == part; }))
+        consolidate(part, planned);
   }
 
   // What nobody has needed for a while is given back.
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -1,5 +1,6 @@
 // The leader: rents and returns machines, deals them among the parts.
 #pragma once
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -12,8 +13,9 @@
 
 class Leader {
  public:
-  Leader(Context& ctx, store::Model& model, StateLink& link, Membership& members, const Demand& demand)
-      : ctx_(ctx), model_(model), link_(link), members_(members), demand_(demand) {}
+  Leader(Context& ctx, store::Model& model, StateLink& link, Membership& members, const ImageCaches& images,
+         const Demand& demand)
+      : ctx_(ctx), model_(model), link_(link), members_(members), images_(images), demand_(demand) {}
 
   void tick();
 
@@ -55,7 +57,9 @@
   void plan();
   void plan_part(int part, std::vector<Want>& wants, std::vector<std::string>& unused, std::vector<Unmet>& unmet,
                  const std::string& without = "");
-  void consolidate(int part);
+  void consolidate(int part, const std::vector<Want>& wants);
+  void note_attempts();
+  bool settled(const store::JobRecord& r, const store::Placement& p) const;
   void reclaim(const std::vector<Unmet>& unmet);
   bool rent_slot(const store::JobSpec& spec, const ZoneCounts& zones, int part, std::vector<Slot>& slots, bool urgent,
                  bool with_gpus, bool spot_only, std::vector<Want>& wants);
@@ -71,6 +75,7 @@
   store::Model& model_;
   StateLink& link_;
   Membership& members_;
+  const ImageCaches& images_;
   const Demand& demand_;
   bool leading_ = false;
   double led_since_ = 0, next_types_ = 0, next_list_ = 0, next_plan_ = 0, next_delete_ = 0, next_share_ = 0,
@@ -84,6 +89,8 @@
   std::map<Key, Refused> refused_;
   std::map<std::string, double> idle_since_;
   std::map<std::string, double> offered_at_;
+  // By job: how far its attempts had come, and when that was seen. A record tells only its last start.
+  std::map<std::string, std::deque<std::pair<double, uint64_t>>> attempts_seen_;
   std::set<std::string> deleted_;
 };
 
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -85,6 +85,7 @@
   OwnedJob& j = jobs_[id];
   j.cur = record;
   j.part = members_.part_of_team(record.spec.team);
+  if (record.attempts == 0) j.adopted_at = ctx_.now;
   for (const auto& p : j.cur.placed) index(j.cur, p, 1);
   want_schedule_ = true;
 }
@@ -188,6 +189,9 @@
   // The tasks of a gang start together, as one attempt.
   if (j.cur.spec.kind != JobKind::gang || j.cur.placed.empty()) ++j.cur.attempts;
   j.cur.placed.push_back(Placement{task, machine_id, j.cur.attempts, false, false});
+  if (!images_.has(machine_id, j.cur.spec.image)) ++j.fetches;
+  if (j.first_placed_at == 0) j.first_placed_at = ctx_.now;
+  j.last_placed_at = ctx_.now;
   index(j.cur, j.cur.placed.back(), 1);
 }
 
@@ -235,6 +239,7 @@
     if (!owned) return;
     if (outcome == WriteOutcome::applied) {
       owned->written = owned->prepared;
+      if (owned->first_written_at == 0 && owned->first_placed_at > 0) owned->first_written_at = ctx_.now;
       for (const auto& p : owned->cur.placed) touched_.insert(p.machine);
       // Ended tasks may be forgotten now.
       for (auto& [mid, m] : machines_)
@@ -394,6 +399,19 @@
   mark(id, 2);
 }
 
+// One line a job: where the time went until all its tasks ran.
+void Owner::tell_first_run(OwnedJob& j) {
+  if (j.adopted_at == 0 || j.whole_at != 0 || j.cur.running() + j.cur.done.size() < j.cur.spec.tasks) return;
+  j.whole_at = ctx_.now;
+  if (!ctx_.logs(LogLine::Level::debug)) return;
+  const auto ms = [&](double at) { return std::to_string(static_cast<int>(std::max(0.0, at - j.adopted_at) * 1000)); };
+  ctx_.debug("job " + j.cur.spec.id + " of " + j.cur.spec.job_class + " runs whole: seen " +
+             std::to_string(static_cast<int>((ctx_.wall - j.cur.submitted - (ctx_.now - j.adopted_at)) * 1000)) +
+             " ms after its acceptance, then placed after " + ms(j.first_placed_at) + " to " + ms(j.last_placed_at) +
+             ", written " + ms(j.first_written_at) + ", running " + ms(ctx_.now) + "; " + std::to_string(j.fetches) +
+             " of " + std::to_string(j.cur.spec.tasks) + " tasks without their image");
+}
+
 std::vector<WorkerCommand> Owner::reconcile(Machine& m, bool& has_start) {
   std::vector<WorkerCommand> commands;
   has_start = false;
@@ -415,6 +433,7 @@
         if (t.state == TaskState::running && !p.running) {
           p.running = true;
           j->cur.last_start = ctx_.wall;
+          tell_first_run(*j);
           mark(t.job, 3);
         }
         const auto* durable = model_.job(t.job);
@@ -563,12 +582,14 @@
   const bool empty = m.placed.empty();
   if (!empty && record->record.drain && (m.pinned == 0 || record->record.next_part < 0)) {
     // The leader takes it back, for a team within its guarantee or because its work fits on fewer machines:
-    // what runs here is stopped, saved and queued again.
+    // what runs here is stopped, saved and queued again. For the latter alone no work is lost.
+    const bool spare_work = record->record.next_part < 0;
     std::set<std::string> changed;
     for (const auto& [key, attempt] : m.placed)
       if (OwnedJob* j = job(key.first))
         for (auto& p : j->cur.placed)
-          if (p.task == key.second && !p.stopping) {
+          if (p.task == key.second && !p.stopping &&
+              !(spare_work && j->cur.spec.kind != JobKind::service && j->cur.spec.checkpoint_s <= 0)) {
             p.stopping = true;
             changed.insert(key.first);
           }
@@ -667,18 +688,32 @@
 }
 
 Fit Owner::fit_for(const OwnedJob& j) const {
-  return {cpu_per_gpu_, &images_, &j.avoid,
-          false,        reserve_, production_waits_ && can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall)};
-}
-
-// CPUs beside free GPUs are kept for work with GPUs only as long as there are others:
-// where CPUs are what is short, an idle GPU costs less than a service that is down.
+  Fit fit;
+  fit.cpu_per_gpu = cpu_per_gpu_;
+  fit.images = &images_;
+  fit.avoid = &j.avoid;
+  fit.reserve = reserve_;
+  fit.spot_only = production_waits_ && can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall);
+  const double within = start_within_s(j.cur.spec, ctx_.settings);
+  if (ctx_.wall - j.cur.submitted < within) fit.start_within_s = within;
+  return fit;
+}
+
+// CPUs beside free GPUs are kept for work with GPUs only as long as there are others, and only
+// where that does not make a start late for its image: where CPUs are what is short, an idle GPU
+// costs less than a service that is down.
 Slot* Owner::pick_for(const OwnedJob& j, const ZoneCounts& zones, std::vector<Slot>& slots) const {
   Fit fit = fit_for(j);
-  Slot* slot = pick(j.cur.spec, zones, slots, fit);
-  if (slot || j.cur.spec.per_task.gpus > 0) return slot;
+  const auto& spec = j.cur.spec;
+  const auto late = [&](const Slot& s) {
+    return fit.start_within_s > 0 && !images_.has(s.machine, spec.image) &&
+           spec.image_gb / std::max(0.01, s.type->fetch_gb_per_s) > fit.start_within_s / 2;
+  };
+  Slot* slot = pick(spec, zones, slots, fit);
+  if (spec.per_task.gpus > 0 || (slot && !late(*slot))) return slot;
   fit.strand_gpus = true;
-  return pick(j.cur.spec, zones, slots, fit);
+  Slot* other = pick(spec, zones, slots, fit);
+  return !slot || (other && !late(*other)) ? other : slot;
 }
 
 bool Owner::within_limit(const std::string& team, const store::Resources& more) const {
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -40,6 +40,9 @@
     double retry_at = 0;
     int failures = 0;
     std::set<std::string> avoid;
+    // When this owner saw the steps to the job's first whole run, for the log; 0: not seen.
+    double adopted_at = 0, first_placed_at = 0, last_placed_at = 0, first_written_at = 0, whole_at = 0;
+    uint32_t fetches = 0;  // tasks placed where their image was not known to be
   };
   struct Machine {
     std::string id;
@@ -84,6 +87,7 @@
   // workers
   bool process(Machine& m, const WorkerReport& report);
   std::vector<WorkerCommand> reconcile(Machine& m, bool& has_start);
+  void tell_first_run(OwnedJob& j);
   void task_ended(Machine& m, OwnedJob& j, const ReportedTask& t);
   void direct(Machine& m);
   void check_health(Machine& m);
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -74,6 +74,14 @@
   return due > 0 ? due : 3 * spec.estimate_s;
 }
 
+double start_within_s(const JobSpec& spec, const store::Settings& settings) {
+  double within = 0;
+  for (const auto& o : settings.objectives)
+    if (o.within_s > 0 && ((o.kind == "wait" && o.job_class == spec.job_class) || o.kind == "guarantee"))
+      within = within > 0 ? std::min(within, o.within_s) : o.within_s;
+  return within;
+}
+
 bool can_wait_for_spot(const store::JobRecord& r, const store::Settings& settings, double wall) {
   if (!r.spec.spot) return false;
   // Guesses are often wrong by half.
@@ -134,8 +142,13 @@
     // In seconds: fetches dominate starts. Work that may use spot machines leaves the others free;
     // after that the fullest machine, so that the emptiest can be given back.
     double score = 0;
-    if (fit.images && !fit.images->has(slot.machine, spec.image))
-      score += spec.image_gb / std::max(0.01, slot.type->fetch_gb_per_s);
+    if (fit.images && !fit.images->has(slot.machine, spec.image)) {
+      const double fetch_s = spec.image_gb / std::max(0.01, slot.type->fetch_gb_per_s);
+      score += fetch_s;
+      // The rest of the time goes into accepting and writing: a fetch of half of it makes the start late,
+      // which no better packing is worth.
+      if (fit.start_within_s > 0 && fetch_s > fit.start_within_s / 2) score += 20;
+    }
     if (spec.spot && !slot.spot) score += 30;
     const double free_share = size.gpus > 0 && spec.per_task.gpus > 0 ? slot.free.gpus / size.gpus
                               : size.cpus > 0                         ? slot.free.cpus / size.cpus
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -54,6 +54,7 @@
   bool strand_gpus = false;                      // may CPU work take what free GPUs need?
   Reserve reserve = {};                          // binds work without GPUs and work that may use spot machines
   bool spot_only = false;                        // work that can wait leaves ordinary machines to work that needs them
+  double start_within_s = 0;                     // when it should run by its objective; 0: no matter, or too late
 };
 
 bool type_allowed(const store::JobSpec& spec, const std::string& type);
@@ -65,6 +66,9 @@
 /// with neither, three times its run.
 double due_after_s(const store::JobSpec& spec, const store::Settings& settings);
 
+/// Seconds after its submission by which a job's tasks should run, by the objectives; 0: none says so.
+double start_within_s(const store::JobSpec& spec, const store::Settings& settings);
+
 /// May work that can run on spot machines still wait for one? It may, while half of the time
 /// that its deadline (or its class's objective) leaves beside its run is not over.
 bool can_wait_for_spot(const store::JobRecord& r, const store::Settings& settings, double wall);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -31,6 +31,35 @@
   EXPECT_EQ(pick(task(2, 0), {}, slots, {0, &images, nullptr})->machine, "m2");
 }
 
+// A fetch of half a second lost to a fuller machine, and the start came after its objective of one second.
+TEST(Placement, AFetchThatMakesAStartLateOutweighsPacking) {
+  ImageCaches images;
+  images.used("m2", "i", 2, 50);
+  std::vector<Slot> slots{slot("m1", kGpu, kA), slot("m2", kGpu, kA)};
+  slots[0].empty = false;
+  slots[0].pinned = true;
+  slots[0].free.cpus = 40;
+  auto t = task(2, 0);
+  t.image_gb = 2.4;  // 0.6 s
+  Fit fit;
+  fit.images = &images;
+  EXPECT_EQ(pick(t, {}, slots, fit)->machine, "m1");
+  fit.start_within_s = 1;
+  EXPECT_EQ(pick(t, {}, slots, fit)->machine, "m2");
+}
+
+TEST(Placement, TheTightestObjectiveSaysWhenATaskShouldRun) {
+  store::Settings settings;
+  settings.objectives = {{"wait", "chat", 18, 0.9}, {"up", "chat", 1, 0.9}, {"guarantee", "", 5, 0.9}};
+  auto t = task(1, 0);
+  t.job_class = "chat";
+  EXPECT_DOUBLE_EQ(start_within_s(t, settings), 5);
+  settings.objectives.pop_back();
+  EXPECT_DOUBLE_EQ(start_within_s(t, settings), 18);
+  t.job_class = "batch";
+  EXPECT_DOUBLE_EQ(start_within_s(t, settings), 0);
+}
+
 TEST(Placement, CachesKeepTheMostRecentlyUsed) {
   ImageCaches images;
   images.used("m", "x", 20, 50);
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -51,5 +51,38 @@
   EXPECT_TRUE(w.broken.empty()) << first(w);
 }
 
+// A job's last start stood for all its replicas, and one array kept a machine from being emptied: at a
+// few hundred jobs nothing was ever settled, and the fleet stayed at its largest.
+TEST(Scale, MachinesAreEmptiedThoughJobsStartAllTheTime) {
+  World::Options options;
+  options.nodes = 2;
+  options.teams = teams(2);
+  options.boot_failures = false;
+  options.types = {{"mid", {32, 0, 128}, 50, 1, 1.8, 0.7, 8, {"a", "b"}}};
+  options.capacity = {{"mid", 30}};
+  World w(options);
+  // Many services that soon end, and few that stay, dealt over all machines.
+  for (int i = 0; i < 80; ++i) {
+    w.submit(service(i, 2, 4), 3 + 0.1 * i);
+    if (i % 5 != 0) w.cancel("job-" + std::to_string(i), 60);
+  }
+  // All the while something starts.
+  for (int i = 0; i < 30; ++i) {
+    auto s = service(1000 + i, 2, 2);
+    s.kind = store::JobKind::array;
+    s.rank = store::Rank::normal;
+    s.estimate_s = 8;
+    s.spread = false;
+    w.submit(s, 70 + 5.0 * i);
+  }
+  w.run_until(55);
+  const size_t before = w.machines_up();
+  w.run_until(215);
+  EXPECT_GE(before, 20u);
+  EXPECT_LE(w.machines_up(), 10u);
+  for (int i = 0; i < 80; i += 5) EXPECT_EQ(w.running("job-" + std::to_string(i)), 4u) << i;
+  EXPECT_TRUE(w.broken.empty()) << first(w);
+}
+
 }  // namespace
 }  // namespace rushtrestle::testing
