--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -452,6 +452,11 @@
   }
 }
 
+bool Leader::overdue(const MachineRecord& m) const {
+  const auto* type = model_.type(m.type);
+  return type && m.address.empty() && ctx_.wall - m.since > type->boot_s * Tunables::kBootUsual;
+}
+
 void Leader::plan_part(int part, std::vector<Want>& wants, std::vector<std::string>& unused, std::vector<Unmet>& unmet,
                        const std::string& without) {
   std::vector<Slot> slots;
@@ -493,7 +498,7 @@
     slots.push_back(std::move(s));
   };
   for (const auto& [id, m] : model_.machines())
-    if (m.record.part == part && m.record.usable() && id != without) add(m.record);
+    if (m.record.part == part && m.record.usable() && id != without && !overdue(m.record)) add(m.record);
   for (const auto& [id, m] : fresh_)
     if (m.part == part && !model_.machine(id)) add(m);
   for (const auto& r : rentals_) {
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -58,6 +58,7 @@
   void plan_part(int part, std::vector<Want>& wants, std::vector<std::string>& unused, std::vector<Unmet>& unmet,
                  const std::string& without = "");
   void consolidate(int part, const std::vector<Want>& wants);
+  bool overdue(const store::MachineRecord& m) const;
   void note_attempts();
   bool settled(const store::JobRecord& r, const store::Placement& p) const;
   void reclaim(const std::vector<Unmet>& unmet);
--- a/src/coordination/tunables.h
+++ b/src/coordination/tunables.h
@@ -45,7 +45,9 @@
   static constexpr double kWriteFloor[] = {-1.0, -0.5, 0.0, 0.4};
   static constexpr double kMassShare = 0.4;      // a cut silences all of a zone; more silent than this share points to one
   static constexpr double kCondemnShare = 0.15;  // of a node's machines, condemned for silence in one silence limit
-  static constexpr double kBootPatience = 4;     // times readyS
+  // Times readyS: half as long again is usual, by the protocol. Then the plan reckons without the machine,
+  // and in the end it is deleted, as some never come up and are charged all the same.
+  static constexpr double kBootUsual = 1.6, kBootPatience = 2.5;
   static constexpr int kFaultyJobs = 2;          // different jobs failing on a machine in a row
 };
 
