Pass a worker's report on when it can't reach its holder

Workers whose part is held across the cut were sent back to a holder out of their reach; 397 tasks died by their lease and 27 machines were condemned in 10 s. Ruled out: the outage and the crash of all controllers before (parts held again 0.01 s after the model was read, nothing lost).

A worker that already obeys the holder's token and asks another controller gets its answer through that one; with no way from there, it is sent to one that hears the holder. The session proves that it hears. Starts still go straight only, so nothing changes in why a task never runs twice.

--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -36,6 +36,7 @@
   for (int p = 0; p < members_.parts(); ++p)
     if (members_.held(p) != 0) s.parts.push_back(p);
   s.heard = owner_.heard();
+  s.nodes = members_.heard_nodes();
   return s;
 }
 
@@ -62,6 +63,7 @@
     }
     void operator()(ShowStats&& c) { core.ctx_.out.push_back(AnswerStats{c.request, core.stats()}); }
     void operator()(TakeReport&& c) { core.owner_.take_report(c.request, std::move(c.report)); }
+    void operator()(TakeRelayedReport&& c) { core.owner_.take_relayed_report(c.request, c.report); }
     void operator()(TakePeerState&& c) {
       core.members_.heard(c.state);
       core.ctx_.out.push_back(AnswerPeer{c.request, core.own_state()});
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -51,6 +51,26 @@
   });
 }
 
+std::vector<std::string> Membership::heard_nodes() const {
+  std::vector<std::string> out;
+  for (const auto& p : peers_)
+    if (fresh(p)) out.push_back(p.settings.node);
+  return out;
+}
+
+std::string Membership::address_of(const std::string& node) const {
+  const Peer* p = peer(node);
+  return p && fresh(*p) ? p->settings.address : "";
+}
+
+std::string Membership::go_between(const std::string& node) const {
+  for (const auto& p : peers_)
+    if (fresh(p) && p.settings.node != node &&
+        std::find(p.state.nodes.begin(), p.state.nodes.end(), node) != p.state.nodes.end())
+      return p.settings.node;
+  return "";
+}
+
 bool Membership::outage_shared() const {
   return !peers_.empty() &&
          std::all_of(peers_.begin(), peers_.end(), [&](const Peer& p) { return fresh(p) && !p.state.has_state; });
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -30,6 +30,11 @@
   /// Node that holds the part according to the model; empty: none known.
   std::string holder_of(int part) const;
   bool peer_hears(const std::string& machine) const;
+  std::vector<std::string> heard_nodes() const;
+  /// Address of a controller that we hear; empty: we don't.
+  std::string address_of(const std::string& node) const;
+  /// A controller that we hear and that hears `node`; empty: none.
+  std::string go_between(const std::string& node) const;
   int live_nodes() const;
   bool outage_shared() const;
 
--- a/src/coordination/messages.h
+++ b/src/coordination/messages.h
@@ -57,6 +57,7 @@
   double backlog = 0;  // records waiting to be written
   std::vector<int> parts;
   std::vector<std::string> heard;  // machines heard from lately
+  std::vector<std::string> nodes;  // controllers heard from lately
 };
 
 // ---- commands ----
@@ -82,6 +83,11 @@
   RequestId request;
   WorkerReport report;
 };
+/// A report that another controller got from a worker that can't reach us.
+struct TakeRelayedReport {
+  RequestId request;
+  WorkerReport report;
+};
 struct TakePeerState {
   RequestId request;
   PeerState state;
@@ -118,8 +124,14 @@
   std::vector<CloudMachine> machines;
   bool more = false;
 };
+struct ReportReply {  // what the holder of a part answers to a worker
+  int status = 503;
+  uint64_t token = 0;
+  std::vector<WorkerCommand> commands;
+  std::string redirect;  // with 421: node to go to, may be empty
+};
 using Reply = std::variant<std::monostate, TxnReply, KeyReply, PageReply, LeaseReply, WatchReply, TypesReply, RentReply,
-                           ListReply, WorkerReport, PeerState>;
+                           ListReply, WorkerReport, PeerState, ReportReply>;
 
 /// status 0: no answer, outcome unknown. A 2xx whose body can't be read counts as 0 too.
 struct CallDone {
@@ -128,8 +140,8 @@
   Reply reply;
 };
 
-using Command =
-    std::variant<SubmitJob, QueryJob, CancelJob, CheckHealth, ShowStats, TakeReport, TakePeerState, CallDone, Tick>;
+using Command = std::variant<SubmitJob, QueryJob, CancelJob, CheckHealth, ShowStats, TakeReport, TakeRelayedReport,
+                             TakePeerState, CallDone, Tick>;
 
 // ---- effects ----
 struct JobView {
@@ -145,10 +157,11 @@
 };
 struct AnswerReport {
   RequestId request;
-  int status = 503;
-  uint64_t token = 0;
-  std::vector<WorkerCommand> commands;
-  std::string redirect;  // with 421: node to go to, may be empty
+  ReportReply reply;
+};
+struct AnswerRelayedReport {
+  RequestId request;
+  ReportReply reply;
 };
 struct AnswerPeer {
   RequestId request;
@@ -209,8 +222,12 @@
   std::string address;
   PeerState state;
 };
+struct RelayReport {
+  std::string address;
+  WorkerReport report;
+};
 using CallBody = std::variant<Txn, ReadKey, ReadPage, GrantLease, ExtendLease, Watch, GetTypes, RentMachines, DeleteMachines,
-                              ListMachines, CommandWorker, TellPeer>;
+                              ListMachines, CommandWorker, TellPeer, RelayReport>;
 struct Call {
   CallId id;
   double timeout_s;
@@ -221,6 +238,6 @@
   std::string text;
 };
 
-using Effect = std::variant<AnswerUser, AnswerReport, AnswerPeer, AnswerStats, Call, LogLine>;
+using Effect = std::variant<AnswerUser, AnswerReport, AnswerRelayedReport, AnswerPeer, AnswerStats, Call, LogLine>;
 
 }  // namespace rushtrestle::coordination
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -290,29 +290,69 @@
 
 void Owner::take_report(RequestId request, WorkerReport&& report) {
   ctx_.counters["reports"]++;
-  const auto answer = [&](int status, std::string redirect = "") {
-    ctx_.out.push_back(AnswerReport{request, status, 0, {}, std::move(redirect)});
-  };
-  const auto* record = model_.machine(report.machine);
   heard_[report.machine] = ctx_.now;
+  if (relay(request, report)) return;
+  ctx_.out.push_back(AnswerReport{request, reply_to(report, false)});
+}
+
+void Owner::take_relayed_report(RequestId request, const WorkerReport& report) {
+  ctx_.counters["relayed_reports"]++;
+  ctx_.out.push_back(AnswerRelayedReport{request, reply_to(report, true)});
+}
+
+// Two zones that can't reach each other, or a controller that lost its workers: a worker turned away to a
+// holder that it can't reach lost its lease and all its tasks, though others reach both. A worker that
+// already obeys the holder's token and comes to us all the same can't reach it: its report goes to the
+// holder through us, and the holder's answer back, as if it had come straight. Now and then the worker is
+// sent to the holder again.
+bool Owner::relay(RequestId request, WorkerReport& report) {
+  const auto* record = model_.machine(report.machine);
+  if (!record || record->record.doomed() || members_.held(record->record.part) != 0) return false;
+  const std::string holder = members_.holder_of(record->record.part);
+  const uint64_t holders =
+      std::max(model_.stamp_of(store::part_key(record->record.part)), model_.stamp_of(store::machine_key(report.machine)));
+  if (holder.empty() || holder == ctx_.settings.node || report.token < holders) {
+    relaying_since_.erase(report.machine);
+    return false;
+  }
+  const std::string address = members_.address_of(holder);
+  if (address.empty()) {
+    const std::string between = members_.go_between(holder);
+    if (between.empty()) return false;
+    ctx_.out.push_back(AnswerReport{request, {421, 0, {}, between}});
+    return true;
+  }
+  const auto since = relaying_since_.emplace(report.machine, ctx_.now).first;
+  if (ctx_.now - since->second > ctx_.tune.relay_s) {
+    relaying_since_.erase(since);
+    return false;
+  }
+  ctx_.counters["reports_passed_on"]++;
+  ctx_.call(RelayReport{address, std::move(report)}, ctx_.tune.direct_timeout_s, [this, request](CallDone&& d) {
+    auto* reply = std::get_if<ReportReply>(&d.reply);
+    ctx_.out.push_back(AnswerReport{request, d.status == 200 && reply ? std::move(*reply) : ReportReply{}});
+  });
+  return true;
+}
+
+ReportReply Owner::reply_to(const WorkerReport& report, bool relayed) {
+  const auto* record = model_.machine(report.machine);
   // Restarted in an outage: nobody can read the keys, so nobody can take over, accept or cancel either.
   // While all controllers agree on that, the worker's own token keeps its tasks alive; it gets no orders.
-  if (!link_.synced() && members_.outage_shared()) {
-    ctx_.out.push_back(AnswerReport{request, 200, report.token, {}, ""});
-    return;
-  }
-  if (!record || record->record.doomed()) return answer(503);
+  if (!link_.synced() && members_.outage_shared()) return {200, report.token, {}, ""};
+  if (!record || record->record.doomed()) return {};
   const int part = record->record.part;
   Machine* m = machine(report.machine);
   if (!m || members_.held(part) == 0) {
     const std::string holder = members_.holder_of(part);
-    if (holder.empty() || holder == ctx_.settings.node) return answer(503);
-    return answer(421, holder);
+    if (holder.empty() || holder == ctx_.settings.node) return {};
+    return {421, 0, {}, holder};
   }
   // A higher token than ours: somebody else is entitled, we just have not heard yet.
-  if (report.token > token(*m) || !members_.may_answer_workers()) return answer(503);
+  if (report.token > token(*m) || !members_.may_answer_workers()) return {};
   std::vector<WorkerCommand> commands;
   if (process(*m, report)) {
+    if (relayed) m->relayed_at = ctx_.now;
     bool has_start = false;
     if (!m->in_flight) commands = reconcile(*m, has_start);
     // Starts go directly only: one in an answer could arrive after a direct stop.
@@ -321,7 +361,7 @@
       touched_.insert(m->id);
     }
   }
-  ctx_.out.push_back(AnswerReport{request, 200, token(*m), std::move(commands), ""});
+  return {200, token(*m), std::move(commands), ""};
 }
 
 bool Owner::process(Machine& m, const WorkerReport& report) {
@@ -514,7 +554,10 @@
       if (mine->uncertain != 0) write_machine(id, 0, [](MachineRecord&) { return true; });
     } else {
       if (has_start) mine->uncertain = std::max(mine->uncertain, used_token);
-      if (mine->direct_failing_since == 0) mine->direct_failing_since = ctx_.now;
+      if (mine->direct_failing_since == 0) {
+        mine->direct_failing_since = ctx_.now;
+        mine->session_when_deaf = mine->session;
+      }
       mine->next_direct = ctx_.now + ctx_.jitter(ctx_.tune.probe_every_s);
       mine->wanted = true;
     }
@@ -564,6 +607,11 @@
   const bool lost_both = silent > ctx_.tune.silence_limit_s && deaf > 0;
   const bool deaf_only = deaf > ctx_.tune.silence_limit_s;
   if (!lost_both && !deaf_only) return;
+  // Cut off from us, not from others. It hears the answers to what they pass on, or its lease would end
+  // and its session with it; but nothing new can be started there, so not for ever.
+  // A try to reach us straight takes most of a lease.
+  if (ctx_.now - m.relayed_at < ctx_.settings.lease_s && m.session == m.session_when_deaf && deaf < ctx_.tune.relay_limit_s)
+    return;
   // Peers that hear it, or many silent at once, point to the network, not to the machine.
   const bool doubtful = mass_silence(m) || (lost_both && members_.peer_hears(m.id));
   if (doubtful && std::max(silent, deaf) < ctx_.tune.mass_silence_limit_s) return;
@@ -632,8 +680,8 @@
         if (m->wanted) touched_.insert(id);
       }
     }
-    for (auto it = heard_.begin(); it != heard_.end();)
-      it = ctx_.now - it->second > ctx_.settings.lease_s ? heard_.erase(it) : std::next(it);
+    std::erase_if(heard_, [&](const auto& h) { return ctx_.now - h.second > ctx_.settings.lease_s; });
+    std::erase_if(relaying_since_, [&](const auto& r) { return !heard_.count(r.first); });
     std::erase_if(promises_, [&](const Promise& p) { return ctx_.now > p.until; });
     want_schedule_ = true;
   }
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -21,6 +21,7 @@
   void job_changed(const std::string& id);
   void machine_changed(const std::string& id);
   void take_report(RequestId request, WorkerReport&& report);
+  void take_relayed_report(RequestId request, const WorkerReport& report);
   void tick();
   /// At the end of a batch: place what waits, command whoever needs it.
   void work();
@@ -50,6 +51,8 @@
     double since = 0;      // when we began to be responsible for it
     double last_news = 0;  // last newer report, however it came
     double direct_failing_since = 0;
+    double relayed_at = -1e9;        // last newer report that came through another controller
+    uint64_t session_when_deaf = 0;  // when direct commands began to fail
     uint64_t session = 0, seq = 0, token_seen = 0;
     bool known = false;  // reported to us
     std::vector<ReportedTask> reported;
@@ -85,6 +88,8 @@
   void write_machine(const std::string& id, int priority, std::function<bool(store::MachineRecord&)> change);
 
   // workers
+  ReportReply reply_to(const WorkerReport& report, bool relayed);
+  bool relay(RequestId request, WorkerReport& report);
   bool process(Machine& m, const WorkerReport& report);
   std::vector<WorkerCommand> reconcile(Machine& m, bool& has_start);
   void tell_first_run(OwnedJob& j);
@@ -123,7 +128,8 @@
   std::map<std::string, Machine> machines_;
   std::map<std::string, store::Resources> team_used_;
   std::unordered_map<std::string, double> heard_;
-  std::set<std::string> touched_;  // machines to command at the end of the batch
+  std::unordered_map<std::string, double> relaying_since_;  // by machine
+  std::set<std::string> touched_;                           // machines to command at the end of the batch
   bool want_schedule_ = false;
   std::vector<double> condemned_at_;  // for silence, of late
   double next_schedule_ = 0, next_scan_ = 0, next_health_ = 0;
--- a/src/coordination/tunables.h
+++ b/src/coordination/tunables.h
@@ -20,6 +20,8 @@
         mass_silence_limit_s(s.lease_s * 2),
         blind_limit_s((s.cancel_s - s.lease_s) * 0.85),
         home_steady_s(s.lease_s * 1.5),
+        relay_s(s.lease_s * 2),
+        relay_limit_s(s.lease_s * 4),
         user_wait_s(4.0),
         poll_wait_s(1.5) {}
 
@@ -34,6 +36,9 @@
   // lease of our workers has to lapse within cancel_s of that.
   double blind_limit_s;
   double home_steady_s;
+  // Reports are passed on for so long before the worker is sent to its holder again (a try costs it half a
+  // lease), and a machine reached through others alone is kept for so long.
+  double relay_s, relay_limit_s;
   double user_wait_s;  // the protocol gives a submission 5 s
   double poll_wait_s;  // and a poll 2 s
 
@@ -48,7 +53,7 @@
   // Times readyS: half as long again is usual, by the protocol. Then the plan reckons without the machine,
   // and in the end it is deleted, as some never come up and are charged all the same.
   static constexpr double kBootUsual = 1.6, kBootPatience = 2.5;
-  static constexpr int kFaultyJobs = 2;          // different jobs failing on a machine in a row
+  static constexpr int kFaultyJobs = 2;  // different jobs failing on a machine in a row
 };
 
 }  // namespace rushtrestle::coordination
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -150,9 +150,10 @@
 }
 
 Json peer_json(const PeerState& s) {
-  return {{"node", s.node},     {"incarnation", s.incarnation}, {"has_state", s.has_state},
-          {"synced", s.synced}, {"backlog", s.backlog},         {"parts", s.parts},
-          {"heard", s.heard}};
+  return {{"node", s.node},           {"incarnation", s.incarnation},
+          {"has_state", s.has_state}, {"synced", s.synced},
+          {"backlog", s.backlog},     {"parts", s.parts},
+          {"heard", s.heard},         {"nodes", s.nodes}};
 }
 
 PeerState peer_from_json(const Json& j) {
@@ -164,9 +165,56 @@
   s.backlog = j.at("backlog").get<double>();
   s.parts = j.at("parts").get<std::vector<int>>();
   s.heard = j.at("heard").get<std::vector<std::string>>();
+  s.nodes = j.at("nodes").get<std::vector<std::string>>();
   return s;
 }
 
+Json report_json(const WorkerReport& r) {
+  Json tasks = Json::array();
+  for (const auto& t : r.tasks)
+    tasks.push_back({t.job, t.task, t.attempt, static_cast<int>(t.state), static_cast<int>(t.cause), t.saved});
+  Json j = {{"machine", r.machine}, {"address", r.address}, {"type", r.type},   {"zone", r.zone},           {"spot", r.spot},
+            {"session", r.session}, {"seq", r.seq},         {"token", r.token}, {"tasks", std::move(tasks)}};
+  if (r.notice_s) j["notice"] = *r.notice_s;
+  return j;
+}
+
+WorkerReport report_from_json(const Json& j) {
+  WorkerReport r;
+  r.machine = j.at("machine").get<std::string>();
+  r.address = j.at("address").get<std::string>();
+  r.type = j.at("type").get<std::string>();
+  r.zone = j.at("zone").get<std::string>();
+  r.spot = j.at("spot").get<bool>();
+  r.session = j.at("session").get<uint64_t>();
+  r.seq = j.at("seq").get<uint64_t>();
+  r.token = j.at("token").get<uint64_t>();
+  if (j.contains("notice")) r.notice_s = j["notice"].get<double>();
+  for (const auto& t : j.at("tasks"))
+    r.tasks.push_back({t.at(0).get<std::string>(), t.at(1).get<uint32_t>(), t.at(2).get<uint64_t>(),
+                       static_cast<TaskState>(t.at(3).get<int>()), static_cast<ExitCause>(t.at(4).get<int>()),
+                       t.at(5).get<bool>()});
+  return r;
+}
+
+Json reply_json(const ReportReply& r) {
+  Json commands = Json::array();
+  for (const auto& c : r.commands) commands.push_back({static_cast<int>(c.verb), c.job, c.task, c.attempt, c.grace_s});
+  return {{"status", r.status}, {"token", r.token}, {"commands", std::move(commands)}, {"redirect", r.redirect}};
+}
+
+ReportReply reply_from_json(const Json& j) {
+  ReportReply r{j.at("status").get<int>(), j.at("token").get<uint64_t>(), {}, j.at("redirect").get<std::string>()};
+  for (const auto& c : j.at("commands"))
+    r.commands.push_back({static_cast<WorkerVerb>(c.at(0).get<int>()), c.at(1).get<std::string>(), c.at(2).get<uint32_t>(),
+                          c.at(3).get<uint64_t>(), c.at(4).get<double>()});
+  return r;
+}
+
+HttpAnswer peer_answer(const Json& body) {
+  return {200, body.dump(-1, ' ', false, Json::error_handler_t::replace), "", "application/json"};
+}
+
 store::Change change_from_entry(const Json& j) {
   const Fields f(j);
   return {f.need("k").get<std::string>(), f.need("v"), f.count("stamp")};
@@ -367,9 +415,14 @@
 
 std::variant<Command, HttpAnswer> decode_peer_request(RequestId id, const std::string& method, const std::string& target,
                                                       const std::string& body) {
-  if (target != "/peer") return refusal(404, "no such path");
+  if (target != "/peer" && target != "/relay") return refusal(404, "no such path");
   if (method != "POST") return wrong_method("POST");
   const Json j = Json::parse(body, nullptr, false);
+  if (target == "/relay") {
+    auto report = j.is_discarded() ? std::nullopt : guarded([&] { return report_from_json(j); });
+    if (!report) return refusal(400, "malformed");
+    return Command{TakeRelayedReport{id, std::move(*report)}};
+  }
   auto state = j.is_discarded() ? std::nullopt : guarded([&] { return peer_from_json(j); });
   if (!state) return refusal(400, "malformed");
   return Command{TakePeerState{id, std::move(*state)}};
@@ -397,15 +450,16 @@
 }
 
 HttpAnswer encode(const AnswerReport& a) {
-  if (a.status == 200) return cbor_answer(200, {{"baton", a.token}, {"orders", commands_json(a.commands)}});
+  const auto& r = a.reply;
+  if (r.status == 200) return cbor_answer(200, {{"baton", r.token}, {"orders", commands_json(r.commands)}});
   Json body = Json::object();
-  if (a.status == 421 && !a.redirect.empty()) body["foreman"] = a.redirect;
-  return cbor_answer(a.status, body, a.status == 503 ? "Retry-After: 1\r\n" : "");
+  if (r.status == 421 && !r.redirect.empty()) body["foreman"] = r.redirect;
+  return cbor_answer(r.status, body, r.status == 503 ? "Retry-After: 1\r\n" : "");
 }
 
-HttpAnswer encode(const AnswerPeer& a) {
-  return {200, peer_json(a.state).dump(-1, ' ', false, Json::error_handler_t::replace), "", "application/json"};
-}
+HttpAnswer encode(const AnswerRelayedReport& a) { return peer_answer(reply_json(a.reply)); }
+
+HttpAnswer encode(const AnswerPeer& a) { return peer_answer(peer_json(a.state)); }
 
 HttpAnswer encode(const AnswerStats& a) {
   return {200, a.body.dump(2, ' ', false, Json::error_handler_t::replace) + "\n", "", "application/json"};
@@ -458,12 +512,10 @@
       return {Service::worker, c.address, "POST", "/commands",
               to_cbor({{"baton", c.token}, {"shift", c.session}, {"orders", commands_json(c.commands)}})};
     }
-    HttpCall operator()(const TellPeer& p) const {
-      return {Service::peer,
-              p.address,
-              "POST",
-              "/peer",
-              peer_json(p.state).dump(-1, ' ', false, Json::error_handler_t::replace),
+    HttpCall operator()(const TellPeer& p) const { return peer(p.address, "/peer", peer_json(p.state)); }
+    HttpCall operator()(const RelayReport& r) const { return peer(r.address, "/relay", report_json(r.report)); }
+    static HttpCall peer(const std::string& address, const char* target, const Json& body) {
+      return {Service::peer,     address, "POST", target, body.dump(-1, ' ', false, Json::error_handler_t::replace),
               "application/json"};
     }
     static HttpCall state(const char* method, std::string target, const Json& body) {
@@ -553,11 +605,13 @@
   const bool has_body = status == 200 || (status == 409 && (kind == kind_of<Txn>() || kind == kind_of<CommandWorker>())) ||
                         (status == 404 && kind == kind_of<ReadKey>());
   if (!has_body) return done;
-  if (kind == kind_of<TellPeer>()) {
+  if (kind == kind_of<TellPeer>() || kind == kind_of<RelayReport>()) {
     const Json j = Json::parse(body, nullptr, false);
-    auto state = j.is_discarded() ? std::nullopt : guarded([&] { return peer_from_json(j); });
-    if (state) {
-      done.reply = std::move(*state);
+    auto reply = j.is_discarded() ? std::nullopt : guarded([&] {
+      return kind == kind_of<TellPeer>() ? Reply{peer_from_json(j)} : Reply{reply_from_json(j)};
+    });
+    if (reply) {
+      done.reply = std::move(*reply);
     } else {
       done.status = 0;
     }
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -35,6 +35,7 @@
 
 HttpAnswer encode(const coordination::AnswerUser& a);
 HttpAnswer encode(const coordination::AnswerReport& a);
+HttpAnswer encode(const coordination::AnswerRelayedReport& a);
 HttpAnswer encode(const coordination::AnswerPeer& a);
 HttpAnswer encode(const coordination::AnswerStats& a);
 
--- a/src/transport/node.cpp
+++ b/src/transport/node.cpp
@@ -91,6 +91,7 @@
     void operator()(const AnswerUser& a) { node.answer(*node.users_, a.request, protocol::encode(a)); }
     void operator()(const AnswerReport& a) { node.answer(*node.users_, a.request, protocol::encode(a)); }
     void operator()(const AnswerStats& a) { node.answer(*node.users_, a.request, protocol::encode(a)); }
+    void operator()(const AnswerRelayedReport& a) { node.answer(*node.peers_, a.request, protocol::encode(a)); }
     void operator()(const AnswerPeer& a) { node.answer(*node.peers_, a.request, protocol::encode(a)); }
     void operator()(const Call& c) { node.call(c); }
     void operator()(const LogLine& l) {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -90,13 +90,43 @@
   const auto cancelled = encode(AnswerUser{1, 200, JobView{"job-1", store::JobStatus::cancelled, 0, 0}, 0});
   EXPECT_EQ(Json::from_cbor(cancelled.body)["status"], "withdrawn");
   EXPECT_NE(encode(AnswerUser{1, 503, std::nullopt, 1.2}).headers.find("Retry-After: 2\r\n"), std::string::npos);
-  const auto moved = encode(AnswerReport{1, 421, 0, {}, "trestle-2"});
+  const auto moved = encode(AnswerReport{1, {421, 0, {}, "trestle-2"}});
   EXPECT_EQ(Json::from_cbor(moved.body)["foreman"], "trestle-2");
-  const auto orders = encode(AnswerReport{1, 200, 41, {{WorkerVerb::stop, "job-3", 1, 1, 10}}, ""});
+  const auto orders = encode(AnswerReport{1, {200, 41, {{WorkerVerb::stop, "job-3", 1, 1, 10}}, ""}});
   EXPECT_EQ(Json::from_cbor(orders.body)["orders"][0],
             (Json{{"verb", "kill"}, {"chore", "job-3/1"}, {"try", 1}, {"leewayS", 10.0}}));
 }
 
+// What controllers pass on for each other arrives as it left.
+TEST(Codec, PassedOnReportsAndTheirAnswersRoundTrip) {
+  WorkerReport r;
+  r.machine = "n-1";
+  r.address = "10.1.0.1:9000";
+  r.type = "g8";
+  r.zone = "a";
+  r.session = 2;
+  r.seq = 9;
+  r.token = 41;
+  r.notice_s = 7.5;
+  r.tasks = {{"job-3", 1, 4, TaskState::exited, ExitCause::stopped, true}};
+  const auto call = encode(Call{1, 1, RelayReport{"10.0.0.2:8081", r}});
+  const auto got = decode_peer_request(5, call.method, call.target, call.body);
+  const auto& command = std::get<TakeRelayedReport>(std::get<Command>(got));
+  EXPECT_EQ(command.report.machine, "n-1");
+  EXPECT_EQ(command.report.token, 41u);
+  EXPECT_EQ(command.report.notice_s, 7.5);
+  ASSERT_EQ(command.report.tasks.size(), 1u);
+  EXPECT_EQ(command.report.tasks[0].cause, ExitCause::stopped);
+  EXPECT_TRUE(command.report.tasks[0].saved);
+  const auto answer = encode(AnswerRelayedReport{5, {200, 41, {{WorkerVerb::stop, "job-3", 1, 4, 10}}, ""}});
+  const auto done = decode_reply(1, CallBody(RelayReport{}).index(), "", answer.status, answer.body);
+  const auto& reply = std::get<ReportReply>(done.reply);
+  EXPECT_EQ(reply.status, 200);
+  ASSERT_EQ(reply.commands.size(), 1u);
+  EXPECT_EQ(reply.commands[0].grace_s, 10);
+  EXPECT_EQ(std::get<HttpAnswer>(decode_peer_request(5, "POST", "/relay", "{\"machine\":1}")).status, 400);
+}
+
 TEST(Codec, UnreadableAnswersCountAsUnknownOutcomes) {
   const size_t txn = CallBody(Txn{}).index(), types = CallBody(GetTypes{}).index();
   EXPECT_EQ(decode_reply(1, txn, "", 200, "garbage").status, 0);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -169,6 +169,31 @@
   EXPECT_TRUE(w.broken.empty()) << first(w);
 }
 
+// Two zones that can't reach each other: workers that the others sent to a holder out of their reach lost
+// their leases, and the holder had them deleted, while all could be reached by a way round (inc-952d).
+TEST(Core, WorkersThatCannotReachTheirHolderLiveOn) {
+  for (const bool hold : {false, true}) {
+    World::Options options;
+    options.consolidate = false;  // moves replicas, too
+    World w(options);
+    w.submit(spec("job-2", store::JobKind::service, 8, 4, 0), 3);
+    w.submit(spec("job-3", store::JobKind::service, 4, 4, 0), 3);
+    w.run_until(40);
+    ASSERT_EQ(w.running("job-2"), 8u);
+    const size_t machines = w.machines_up();
+    w.cut_workers(1, 35, hold);  // the holder of the team's part
+    w.run_until(50);
+    w.cancel("job-3", 50);  // reaches them all the same
+    w.run_until(71);
+    EXPECT_EQ(w.running("job-3"), 0u);
+    EXPECT_EQ(w.machines_up(), machines);
+    w.run_until(120);
+    EXPECT_EQ(w.running("job-2"), 8u);
+    EXPECT_EQ(w.starts_of("job-2"), 8u);
+    EXPECT_TRUE(w.broken.empty()) << first(w);
+  }
+}
+
 // One-way cut with a cancellation pending: the tasks have to be gone within cancel_s.
 TEST(Core, ACancellationReachesAMachineThatDoesNotHear) {
   World w({});
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -67,6 +67,7 @@
     if (i != n) s.peers.push_back({node_name(i), "a", node_name(i)});
   store::OperatorSettings operators;
   operators.requeue_delay_s = options_.requeue_delay_s;
+  operators.consolidate = options_.consolidate;
   node.core = std::make_unique<Core>(s, operators, node.name + "." + std::to_string(node.generation), rng_(),
                                      options_.trace ? LogLine::Level::info : LogLine::Level::error);
   node.commands.clear();
@@ -128,7 +129,7 @@
     auto w = report_waiting_.extract(r->request);
     if (w.empty()) return;
     const auto waiting = w.mapped();
-    send(name, waiting.worker, [this, waiting, answer = *r, n] {
+    send(name, waiting.worker, [this, waiting, answer = r->reply, n] {
       const auto it = workers_.find(waiting.worker);
       if (it == workers_.end() || it->second.phase != Worker::Phase::up || now_ < it->second.hang_until) return;
       Worker& worker = it->second;
@@ -154,13 +155,9 @@
       }
     });
   } else if (auto* p = std::get_if<AnswerPeer>(&e)) {
-    auto w = peer_waiting_.extract(p->request);
-    if (w.empty()) return;
-    const auto waiting = w.mapped();
-    send(name, node_name(waiting.node), [this, waiting, state = p->state] {
-      if (nodes_[static_cast<size_t>(waiting.node)].generation == waiting.generation)
-        deliver(waiting.node, CallDone{waiting.call, 200, state});
-    });
+    answer_peer(name, p->request, p->state);
+  } else if (auto* passed = std::get_if<AnswerRelayedReport>(&e)) {
+    answer_peer(name, passed->request, passed->reply);
   } else if (auto* c = std::get_if<Call>(&e)) {
     perform(n, nodes_[static_cast<size_t>(n)].generation, std::move(*c));
   } else if (auto* l = std::get_if<LogLine>(&e); l && options_.trace) {
@@ -168,6 +165,16 @@
   }
 }
 
+void World::answer_peer(const std::string& from, RequestId request, Reply reply) {
+  auto w = peer_waiting_.extract(request);
+  if (w.empty()) return;
+  const auto waiting = w.mapped();
+  send(from, node_name(waiting.node), [this, waiting, reply = std::move(reply)] {
+    if (nodes_[static_cast<size_t>(waiting.node)].generation == waiting.generation)
+      deliver(waiting.node, CallDone{waiting.call, 200, reply});
+  });
+}
+
 // ---- network ----
 
 std::optional<double> World::transit(const std::string& from, const std::string& to) {
@@ -189,6 +196,10 @@
   if (!one_way) cuts_.push_back({b, a, now_ + for_s, hold});
 }
 
+void World::cut_workers(int n, double for_s, bool hold) {
+  for (const auto& [id, w] : workers_) cut(node_name(n), id, for_s, hold);
+}
+
 void World::cut_node(int n, double for_s, bool hold) { cut(node_name(n), "*", for_s, hold); }
 
 void World::perform(int n, int generation, Call&& c) {
@@ -218,13 +229,19 @@
         run();
       }
     });
-  } else if (const auto* peer = std::get_if<TellPeer>(&c.body)) {
-    const int to = peer->address.back() - '0';
-    send(name, peer->address, [this, n, generation, id, to, state = peer->state] {
+  } else if (std::holds_alternative<TellPeer>(c.body) || std::holds_alternative<RelayReport>(c.body)) {
+    const auto* tell = std::get_if<TellPeer>(&c.body);
+    const auto* relay = std::get_if<RelayReport>(&c.body);
+    const std::string address = tell ? tell->address : relay->address;
+    send(name, address, [this, n, generation, id, to = address.back() - '0', call = c] {
       if (!nodes_[static_cast<size_t>(to)].alive) return;
       const RequestId r = next_request_++;
       peer_waiting_[r] = {n, generation, id};
-      deliver(to, TakePeerState{r, state});
+      if (const auto* state = std::get_if<TellPeer>(&call.body)) {
+        deliver(to, TakePeerState{r, state->state});
+      } else {
+        deliver(to, TakeRelayedReport{r, std::get<RelayReport>(call.body).report});
+      }
     });
   } else if (std::holds_alternative<Watch>(c.body)) {
     send(name, "state", [this, n, generation, call = c, deadline] { watch(n, generation, call, deadline); });
--- a/tests/world.h
+++ b/tests/world.h
@@ -29,6 +29,7 @@
     std::vector<store::TeamSettings> teams;  // default: red and blue
     double cloud_rps = 8;
     bool boot_failures = true;
+    bool consolidate = true;
   };
   explicit World(Options options);
 
@@ -50,6 +51,7 @@
   void sick_machine(size_t pick, double for_s);
   void cut_machine(size_t pick, double for_s, bool hold, bool only_inbound);
   void cut_node(int n, double for_s, bool hold);
+  void cut_workers(int n, double for_s, bool hold);  // all that are up, from this node alone
   void delay_report_copies(double for_s, double late_s);
 
   // ---- what is seen ----
@@ -126,6 +128,7 @@
   CallDone at_worker(const std::string& id, const Call& c);
   // Delay until a message arrives; nullopt: lost.
   std::optional<double> transit(const std::string& from, const std::string& to);
+  void answer_peer(const std::string& from, RequestId request, Reply reply);
   void send(const std::string& from, const std::string& to, std::function<void()> arrive);
 
   void worker_step(const std::string& id);
