Controllers that can't hear each other share the state service's budget all the same

Each node counted itself the only one and took the whole budget; the service answered 429, and a 429, or any request unanswered among others that succeeded, put the node in doubt, which refused everything that waited. Ruled out: the node cut from the state service (1 submission), the slow state service (0).

A peer that holds a part counts as spending though we don't hear it; 429 is no doubt, nor is a failure of what was sent before the last success.

--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -41,16 +41,18 @@
   return h && h->present ? h->record.node : "";
 }
 
-int Membership::live_nodes() const {
-  return 1 + static_cast<int>(std::count_if(peers_.begin(), peers_.end(), [&](const Peer& p) { return fresh(p); }));
-}
-
 bool Membership::peer_hears(const std::string& machine) const {
   return std::any_of(peers_.begin(), peers_.end(), [&](const Peer& p) {
     return fresh(p) && std::find(p.state.heard.begin(), p.state.heard.end(), machine) != p.state.heard.end();
   });
 }
 
+bool Membership::holds_a_part(const std::string& node) const {
+  for (int part = 0; part < parts(); ++part)
+    if (holder_of(part) == node) return true;
+  return false;
+}
+
 std::vector<std::string> Membership::heard_nodes() const {
   std::vector<std::string> out;
   for (const auto& p : peers_)
@@ -113,9 +115,16 @@
     if (!p.telling && ctx_.now >= p.next_tell) tell(p);
   // The budget follows the work: a node with a backlog takes what idle peers leave.
   const auto weight = [](double backlog) { return 1 + std::min(backlog, 20.0); };
+  // A peer that we don't hear, but that holds a part, is alive behind refused connections and spends, too: with
+  // each node taking the whole budget for its own, all of them were refused for the rate.
   double total = weight(link_.backlog());
-  for (const auto& p : peers_)
-    if (fresh(p)) total += weight(p.state.backlog);
+  for (const auto& p : peers_) {
+    if (fresh(p)) {
+      total += weight(p.state.backlog);
+    } else if (holds_a_part(p.settings.node)) {
+      total += weight(link_.backlog());
+    }
+  }
   link_.set_weight(weight(link_.backlog()) / total);
 
   // Work begins once the model covers all that earlier owners wrote: a job's end
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -35,7 +35,7 @@
   std::string address_of(const std::string& node) const;
   /// A controller that we hear and that hears `node`; empty: none.
   std::string go_between(const std::string& node) const;
-  int live_nodes() const;
+  bool holds_a_part(const std::string& node) const;
   bool outage_shared() const;
 
   std::function<PeerState()> own_state;
--- a/src/coordination/state_link.cpp
+++ b/src/coordination/state_link.cpp
@@ -11,7 +11,11 @@
   failing_ = false;
 }
 
-void StateLink::failed() {
+// With the service slow, single requests go unanswered among others that succeed: each of them put the node
+// in doubt, which refused all that waited. Only what was sent after the last success says anything.
+void StateLink::failed(double sent_at, int status) {
+  constexpr int kTooMany = 429;  // it is there, and asks for a pause
+  if (sent_at <= last_contact_ || status == kTooMany) return;
   if (!failing_) ctx_.info("state service: no answer or refused");
   failing_ = true;
   fail_proofs();
@@ -62,7 +66,7 @@
       renewing_ = false;
       const auto* reply = std::get_if<LeaseReply>(&d.reply);
       if (d.status != 200 || !reply) {
-        failed();
+        failed(sent, d.status);
         next_renew_ = ctx_.now + ctx_.jitter(ctx_.tune.renew_every_s / 3);
         return;
       }
@@ -87,7 +91,7 @@
       next_renew_ = ctx_.now;
       if (on_lease_lost) on_lease_lost();
     } else {
-      failed();
+      failed(sent, d.status);
       next_renew_ = ctx_.now + ctx_.jitter(ctx_.tune.renew_every_s / 3);
     }
   });
@@ -106,7 +110,7 @@
   ctx_.call(ReadPage{"", after}, ctx_.settings.report_s, [this, sent, first_revision](CallDone&& d) {
     auto* page = std::get_if<PageReply>(&d.reply);
     if (d.status != 200 || !page) {
-      failed();
+      failed(sent, d.status);
       syncing_ = false;
       next_sync_ = ctx_.now + ctx_.jitter(ctx_.tune.renew_every_s / 2);
       return;
@@ -149,7 +153,7 @@
                 return;
               }
               if (d.status != 200 || !reply) {
-                failed();
+                failed(sent, d.status);
                 next_follow_ = ctx_.now + ctx_.jitter(ctx_.tune.renew_every_s / 4);
                 return;
               }
@@ -185,7 +189,7 @@
     proving_ = false;
     const auto* reply = std::get_if<KeyReply>(&d.reply);
     if (d.status != 404 || !reply) {
-      failed();
+      failed(sent, d.status);
       for (auto& w : *waiting) w(false);
       return;
     }
@@ -328,12 +332,12 @@
   }
   if (d.status == 0) {
     // It may have been carried out, or may yet be: read before deciding.
-    failed();
+    failed(sent_at, d.status);
     for (const auto& item : items) look_up(item);
     return;
   }
   if (d.status == 503 || d.status == 429) {
-    if (d.status == 503) failed();
+    if (d.status == 503) failed(sent_at, d.status);
     ctx_.counters[d.status == 429 ? "state_429" : "state_503"]++;
     hold_writes_until_ = ctx_.now + ctx_.jitter(d.status == 429 ? ctx_.settings.report_s / 20 : ctx_.settings.report_s / 5);
     for (auto it = items.rbegin(); it != items.rend(); ++it) {
@@ -359,7 +363,7 @@
   ctx_.call(ReadKey{item->request.key}, ctx_.tune.poll_wait_s, [this, sent, item](CallDone&& d) {
     const auto* reply = std::get_if<KeyReply>(&d.reply);
     if ((d.status != 200 && d.status != 404) || !reply) {
-      failed();
+      failed(sent, d.status);
       // The key stays blocked until its value is known; a pause, then again.
       lookups_due_.emplace_back(ctx_.now + ctx_.jitter(ctx_.tune.renew_every_s / 3), item);
       return;
--- a/src/coordination/state_link.h
+++ b/src/coordination/state_link.h
@@ -61,7 +61,7 @@
   };
   using ItemPtr = std::shared_ptr<Item>;
   void succeeded(double sent_at);
-  void failed();
+  void failed(double sent_at, int status);
   void renew();
   void start_sync();
   void read_page(std::string after, uint64_t first_revision);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -68,6 +68,25 @@
   EXPECT_TRUE(w.broken.empty()) << first(w);
 }
 
+// One unanswered request among many put a node in doubt: it refused every submission and poll that waited.
+TEST(Core, SubmissionsAreTakenWhileTheStateServiceIsSlowNowAndThen) {
+  World w({});
+  w.submit(spec("job-0", store::JobKind::service, 4, 2, 0), 3);
+  w.run_until(30);
+  w.slow_state(60);
+  int in_time = 0;
+  constexpr int kJobs = 100;
+  for (int i = 1; i <= kJobs; ++i) {
+    const std::string id = "job-" + std::to_string(i);
+    w.submit(spec(id, store::JobKind::array, 1, 1, 5), 30 + 0.5 * i);
+    w.at(31 + 0.5 * i, [&w, &in_time, id] { in_time += w.accepted(id); });
+  }
+  w.run_until(120);
+  EXPECT_GE(in_time, 65);  // three in four requests are fast
+  for (int i = 1; i <= kJobs; ++i) EXPECT_EQ(w.told("job-" + std::to_string(i)), "done") << i;
+  EXPECT_TRUE(w.broken.empty()) << first(w);
+}
+
 TEST(Core, IdleMachinesAreGivenBack) {
   World w({});
   w.submit(spec("job-1", store::JobKind::array, 8, 4, 10), 3);
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -51,6 +51,30 @@
   EXPECT_TRUE(w.broken.empty()) << first(w);
 }
 
+// Connections between controllers refused: each took the whole budget of the state service for its own, and
+// the service refused a third of what was asked.
+TEST(Scale, ControllersThatDontHearEachOtherShareTheBudgetAllTheSame) {
+  World::Options options;
+  options.nodes = 5;
+  options.teams = teams(5);
+  options.boot_failures = false;
+  World w(options);
+  for (int i = 0; i < 600; ++i) {
+    auto s = service(i, 5, 1);
+    s.per_task = {0.1, 0, 0.1};
+    s.spread = false;
+    w.submit(s, 3 + 0.09 * i);
+  }
+  w.run_until(25);
+  for (int a = 0; a < 5; ++a)
+    for (int b = a + 1; b < 5; ++b) w.cut("node-" + std::to_string(a), "node-" + std::to_string(b), 40, false);
+  w.run_until(30);
+  const size_t before = w.work().state_requests;
+  w.run_until(60);
+  EXPECT_LE(w.work().state_requests - before, static_cast<size_t>(30 * w.settings().state_rps));
+  EXPECT_TRUE(w.broken.empty()) << first(w);
+}
+
 // A job's last start stood for all its replicas, and one array kept a machine from being emptied: at a
 // few hundred jobs nothing was ever settled, and the fleet stayed at its largest.
 TEST(Scale, MachinesAreEmptiedThoughJobsStartAllTheTime) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -246,7 +246,9 @@
   } else if (std::holds_alternative<Watch>(c.body)) {
     send(name, "state", [this, n, generation, call = c, deadline] { watch(n, generation, call, deadline); });
   } else if (c.body.index() < CallBody(GetTypes{}).index()) {
-    send(name, "state", [this, n, back, call = c] { back("state", at_state(n, call)); });
+    const double slow = now_ < slow_until_ && rng_() % 4 == 0 ? 3 : 0;
+    send(name, "state",
+         [this, n, back, slow, call = c] { at(now_ + slow, [this, n, back, call] { back("state", at_state(n, call)); }); });
   } else {
     send(name, "cloud", [this, back, call = c] { at(now_ + 0.2, [this, back, call] { back("cloud", at_cloud(call)); }); });
   }
@@ -289,6 +291,8 @@
 
 void World::limit_state(double for_s) { limited_until_ = now_ + for_s; }
 
+void World::slow_state(double for_s) { slow_until_ = now_ + for_s; }
+
 void World::refuse_state(int node, double for_s) { refused_until_[node] = now_ + for_s; }
 
 void World::watch(int n, int generation, const Call& c, double deadline) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -45,6 +45,7 @@
   void state_outage(double for_s);
   void refuse_state(int node, double for_s);  // only this node is refused
   void limit_state(double for_s);             // every second transaction gets 429
+  void slow_state(double for_s);              // one request in four takes seconds
   void cut(const std::string& a, const std::string& b, double for_s, bool hold, bool one_way = false);
   void kill_machine(size_t pick);
   void hang_machine(size_t pick, double for_s);
@@ -163,7 +164,7 @@
     double ttl, until;
   };
   std::map<uint64_t, Lease> leases_;
-  double outage_until_ = 0, limited_until_ = 0;
+  double outage_until_ = 0, limited_until_ = 0, slow_until_ = 0;
   std::map<int, double> refused_until_;
   std::map<std::string, Worker> workers_;
   std::map<std::string, std::vector<std::string>> hires_;
