--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -87,9 +87,22 @@
   j.part = members_.part_of_team(record.spec.team);
   if (record.attempts == 0) j.adopted_at = ctx_.now;
   for (const auto& p : j.cur.placed) index(j.cur, p, 1);
+  drop_gone_placements(id);
   want_schedule_ = true;
 }
 
+// The record may still place tasks on a machine that is gone: its owner crashed before it wrote that, or the
+// write had no answer and the record was taken up again after the machine had gone. Nothing would ever
+// report those tasks, and their job would never end.
+void Owner::drop_gone_placements(const std::string& id) {
+  OwnedJob* j = job(id);
+  std::vector<uint32_t> gone;
+  for (const auto& p : j->cur.placed)
+    if (const auto* m = model_.machine(p.machine); m && m->record.phase == MachinePhase::gone) gone.push_back(p.task);
+  for (const uint32_t t : gone) unplace(*j, t);
+  if (!gone.empty()) mark(id, 1);
+}
+
 void Owner::drop_job(const std::string& id) {
   OwnedJob* j = job(id);
   if (!j) return;
@@ -105,6 +118,7 @@
   j->cur = durable->record;
   j->written = j->version;
   for (const auto& p : j->cur.placed) index(j->cur, p, 1);
+  drop_gone_placements(id);
   want_schedule_ = true;
 }
 
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -80,6 +80,7 @@
   void adopt_job(const std::string& id, const store::JobRecord& record);
   void index(const store::JobRecord& r, const store::Placement& p, double sign);
   void rebase(const std::string& id);
+  void drop_gone_placements(const std::string& id);
   void drop_job(const std::string& id);
   void place(OwnedJob& j, uint32_t task, const std::string& machine);
   void unplace(OwnedJob& j, uint32_t task);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -68,6 +68,9 @@
   EXPECT_TRUE(w.broken.empty()) << first(w);
 }
 
+// It also showed that a job whose last write had no answer was taken up again from its record, with a task on
+// a machine that had gone meanwhile, and never ended.
+//
 // One unanswered request among many put a node in doubt: it refused every submission and poll that waited.
 TEST(Core, SubmissionsAreTakenWhileTheStateServiceIsSlowNowAndThen) {
   World w({});
