Test a requeue from nomination to cooldown, and one that rolls back

The test that overrun alone evicts nothing never overran: its tasks ran exactly as long as their owner guessed. The world can now run them longer.

--- a/tests/requeue_test.cpp
+++ b/tests/requeue_test.cpp
@@ -99,27 +99,66 @@
   return o;
 }
 
+// A fleet of two machines that can't grow, full of an array whose owner guessed 20 s and that runs for ten times that.
+testing::World::Options overrunning() {
+  auto o = tight();
+  o.boot_failures = false;
+  o.run_factor = 10;
+  return o;
+}
+
 TEST(Requeue, OverrunAloneEvictsNothing) {
-  testing::World w(tight());
-  // The owner's guess is 5 s, the task runs for much longer.
-  auto job = filler("job-1", 2, 200);
-  w.submit(job, 1);
+  testing::World w(overrunning());
+  w.submit(filler("job-1", 2, 20), 1);
   w.run_until(100);
+  EXPECT_EQ(w.running("job-1"), 2u);
   EXPECT_EQ(w.starts_of("job-1"), 2u);
   EXPECT_TRUE(w.broken.empty()) << w.broken.front();
 }
 
 TEST(Requeue, AContenderThatNeverFitsEvictsNothing) {
-  testing::World w(tight());
-  w.submit(filler("job-1", 2, 40), 1);
-  auto big = filler("job-2", 3, 20);  // never fits whole: stays out, and evicts nothing
+  testing::World w(overrunning());
+  w.submit(filler("job-1", 2, 20), 1);
+  auto big = filler("job-2", 3, 20);  // never fits whole: stays out, and every trial rolls back
   big.rank = store::Rank::high;
-  big.kind = store::JobKind::service;
   big.per_task.cpus = 16;
   w.submit(big, 20);
-  w.run_until(35);
+  w.run_until(90);
   EXPECT_EQ(w.starts_of("job-1"), 2u);
-  EXPECT_EQ(w.running("job-2"), 0u);
+  EXPECT_EQ(w.stored("job/job-1")->value("not_before", 0.0), 0.0);
+  EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
+// Nomination, trial, commit, stop, the contender whole in the freed room, and the cooldown of the victim.
+TEST(Requeue, ACommitMakesRoomForTheContenderAndTheVictimSitsOutItsCooldown) {
+  testing::World w(overrunning());
+  w.submit(filler("job-1", 2, 20), 1);
+  auto contender = filler("job-2", 2, 3);  // 30 s in truth
+  contender.rank = store::Rank::high;
+  w.submit(contender, 20);
+  w.run_until(25);
+  ASSERT_EQ(w.running("job-1"), 2u);
+  EXPECT_EQ(w.starts_of("job-2"), 0u) << "not due yet";
+  w.run_until(50);
+  EXPECT_EQ(w.running("job-2"), 2u);
+  EXPECT_EQ(w.running("job-1"), 0u);
+  const double not_before = w.stored("job/job-1")->value("not_before", 0.0);
+  EXPECT_GT(not_before, 0.0);
+  // When the contender is over the victim runs again, from its checkpoint or anew; another contender
+  // comes once it is due again, and gets nothing while the cooldown lasts.
+  w.run_until(75);
+  EXPECT_EQ(w.told("job-2"), "done");
+  EXPECT_EQ(w.running("job-1"), 2u);
+  EXPECT_EQ(w.starts_of("job-1"), 4u);
+  auto second = filler("job-3", 2, 3);
+  second.rank = store::Rank::high;
+  w.submit(second, 76);
+  const double cooldown_ends = w.now() + 60;  // the commit was before now
+  w.run_until(not_before - 1e9 - 2);
+  EXPECT_EQ(w.starts_of("job-3"), 0u);
+  EXPECT_EQ(w.starts_of("job-1"), 4u);
+  w.run_until(cooldown_ends + 40);
+  EXPECT_EQ(w.starts_of("job-3"), 2u);
   EXPECT_TRUE(w.broken.empty()) << w.broken.front();
 }
 
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -525,7 +525,7 @@
         t.report.cause = ExitCause::no_room;
       } else {
         t.fetch_until = now_ + (w.images.count(spec.image) ? 0 : spec.image_gb / type->fetch_gb_per_s);
-        t.remaining = job->second.completed.count(c.task) ? 0 : spec.estimate_s;
+        t.remaining = job->second.completed.count(c.task) ? 0 : spec.estimate_s * options_.run_factor;
       }
       w.tasks[key] = t;
     } else if (it != w.tasks.end() && it->second.report.attempt == c.attempt) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -29,6 +29,7 @@
     std::vector<store::TeamSettings> teams;  // default: red and blue
     double cloud_rps = 8;
     bool boot_failures = true;
+    double run_factor = 1;  // how long tasks really run, in times their estimate
     bool consolidate = true;
   };
   explicit World(Options options);
