Test that work grows no faster than the fleet

Five controllers, ten teams, 60 and 240 services in the simulated world: writes, messages to workers, requests and cloud calls are counted, no clock.

--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -51,6 +51,32 @@
   EXPECT_TRUE(w.broken.empty()) << first(w);
 }
 
+// What is written, asked and sent grows with the size and no faster: with jobs times machines it would at
+// some size stop the fleet, whatever the machines.
+TEST(Scale, WorkGrowsNoFasterThanTheFleet) {
+  const auto play = [](int jobs) {
+    World::Options options;
+    options.nodes = 5;
+    options.teams = teams(10);
+    options.boot_failures = false;
+    options.types = {{"mid", {32, 0, 128}, 50, 1, 1.8, 0.7, 8, {"a", "b"}}};
+    options.capacity = {{"mid", 60}};
+    World w(options);
+    for (int i = 0; i < jobs; ++i) w.submit(service(i, 10, 4), 3 + 40.0 * i / jobs);
+    w.run_until(100);
+    for (int i = 0; i < jobs; ++i) EXPECT_EQ(w.running("job-" + std::to_string(i)), 4u) << i << " of " << jobs;
+    EXPECT_TRUE(w.broken.empty()) << first(w);
+    return w.work();
+  };
+  constexpr int kJobs = 60, kTimes = 4;
+  const auto few = play(kJobs), many = play(kJobs * kTimes);
+  EXPECT_LE(many.writes, few.writes * kTimes * 12 / 10);
+  EXPECT_LE(many.worker_messages, few.worker_messages * kTimes * 12 / 10);
+  EXPECT_LE(many.cloud_calls, few.cloud_calls * kTimes);
+  // Proofs and renewals are there at any size: less than in proportion.
+  EXPECT_LE(many.state_requests, few.state_requests * kTimes);
+}
+
 // Connections between controllers refused: each took the whole budget of the state service for its own, and
 // the service refused a third of what was asked.
 TEST(Scale, ControllersThatDontHearEachOtherShareTheBudgetAllTheSame) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -585,6 +585,7 @@
 }
 
 CallDone World::at_worker(const std::string& id, const Call& c) {
+  ++work_.worker_messages;
   Worker& w = workers_.at(id);
   const auto& body = std::get<CommandWorker>(c.body);
   advance(w);
--- a/tests/world.h
+++ b/tests/world.h
@@ -65,7 +65,7 @@
   size_t machines_up() const;
   /// Work done so far, of all controllers together.
   struct Work {
-    size_t cloud_calls = 0, state_requests = 0, writes = 0, worker_messages = 0;
+    size_t cloud_calls = 0, state_requests = 0, writes = 0, worker_messages = 0;  // the last: sent to workers
   };
   const Work& work() const { return work_; }
   const store::Settings& settings() const { return settings_; }
