--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -51,6 +51,29 @@
   EXPECT_TRUE(w.broken.empty()) << first(w);
 }
 
+// One controller, more of them than teams, many teams on few: each team is served, also after each crash.
+TEST(Scale, AnyNumberOfControllersServesAnyNumberOfTeams) {
+  for (const auto& [nodes, of_teams] : {std::pair{1, 3}, {7, 2}, {2, 12}}) {
+    World::Options options;
+    options.nodes = nodes;
+    options.teams = teams(of_teams);
+    options.boot_failures = false;
+    options.consolidate = false;
+    World w(options);
+    for (int i = 0; i < of_teams; ++i) w.submit(service(i, of_teams, 2), 3);
+    w.run_until(60);
+    for (int i = 0; i < of_teams; ++i) EXPECT_EQ(w.running("job-" + std::to_string(i)), 2u) << nodes << " nodes, team " << i;
+    for (int n = 0; n < nodes; ++n) w.kill_node(n, 5);
+    for (int i = 0; i < of_teams; ++i) w.submit(service(100 + i, of_teams, 2), 70);
+    w.run_until(130);
+    for (int i = 0; i < of_teams; ++i) {
+      EXPECT_EQ(w.starts_of("job-" + std::to_string(i)), 2u) << nodes << " nodes, team " << i;
+      EXPECT_EQ(w.running("job-" + std::to_string(100 + i)), 2u) << nodes << " nodes, team " << i;
+    }
+    EXPECT_TRUE(w.broken.empty()) << first(w);
+  }
+}
+
 // What is written, asked and sent grows with the size and no faster: with jobs times machines it would at
 // some size stop the fleet, whatever the machines.
 TEST(Scale, WorkGrowsNoFasterThanTheFleet) {
