Work on what changed: indexes for pending jobs and placements, one picture a scan, cheaper picks

Cause: at the fleet's size passes grew with jobs times machines (profile of five cores in the simulated world: half of the leader's time in pick, comparing names; a scan copied the picture for each pair of candidate and contender; each write looked through all reports; each machine that came or went through all jobs). Now: pending jobs and placements by machine are kept, images are numbered, types and zones asked once a pick, trials are rolled back on one picture, equal shapes tried once. Same decisions.

--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -40,7 +40,7 @@
   return s;
 }
 
-store::Json Core::stats() const {
+store::Json Core::stats() {
   store::Json j = {{"node", ctx_.settings.node},
                    {"revision", model_.revision()},
                    {"leading", members_.leading()},
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -26,7 +26,7 @@
   void machine_changed(const std::string& id) override;
   void holder_changed(const std::string& key) override;
   PeerState own_state() const;
-  store::Json stats() const;
+  store::Json stats();
   void take(Command&& command);
 
   Context ctx_;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -488,7 +488,7 @@
   const auto add = [&](const MachineRecord& m) {
     const auto* type = model_.type(m.type);
     if (!type) return;
-    Slot s{m.id, type, &m.zone, m.spot, type->size, true};
+    Slot s{m.id, type, shared_zone(*type, m.zone), m.spot, type->size, true};
     const auto it = used.find(m.id);
     if (it != used.end()) {
       s.free.add(it->second, -1);
@@ -505,7 +505,7 @@
     const auto* type = model_.type(r.key.type);
     if (!type) continue;
     for (auto n = std::count(r.parts.begin(), r.parts.end(), part); n > 0; --n)
-      slots.push_back({"", type, &r.key.zone, r.key.spot, type->size, true});
+      slots.push_back({"", type, shared_zone(*type, r.key.zone), r.key.spot, type->size, true});
   }
   const size_t real = slots.size();
   std::vector<bool> was_empty(real);
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unordered_set>
 
 #include "coordination/requeue.h"
 
@@ -64,6 +65,12 @@
     images_.used(p.machine, r.spec.image, r.spec.image_gb, type ? type->cache_gb : 0);
   }
   team_used_[r.spec.team].add(r.spec.per_task, sign);
+  if (sign > 0) {
+    placed_on_[p.machine][{r.spec.id, p.task}] = p.attempt;
+  } else if (const auto on = placed_on_.find(p.machine); on != placed_on_.end()) {
+    on->second.erase({r.spec.id, p.task});
+    if (on->second.empty()) placed_on_.erase(on);
+  }
   if (Machine* m = machine(p.machine)) {
     m->used.add(r.spec.per_task, sign);
     if (!preemptible(r)) m->pinned += sign > 0 ? 1 : -1;
@@ -76,6 +83,15 @@
   }
 }
 
+void Owner::note_pending(const OwnedJob& j) {
+  const auto& r = j.cur;
+  if (r.status == JobStatus::open && r.done.size() + r.placed.size() < r.spec.tasks) {
+    pending_.insert(r.spec.id);
+  } else {
+    pending_.erase(r.spec.id);
+  }
+}
+
 bool Owner::preemptible(const JobRecord& r) const {
   const auto& ranks = ctx_.operators.preemptible;
   return std::find(ranks.begin(), ranks.end(), r.spec.rank) != ranks.end();
@@ -87,6 +103,7 @@
   j.part = members_.part_of_team(record.spec.team);
   if (record.attempts == 0) j.adopted_at = ctx_.now;
   for (const auto& p : j.cur.placed) index(j.cur, p, 1);
+  note_pending(j);
   drop_gone_placements(id);
   want_schedule_ = true;
 }
@@ -107,6 +124,7 @@
   OwnedJob* j = job(id);
   if (!j) return;
   for (const auto& p : j->cur.placed) index(j->cur, p, -1);
+  pending_.erase(id);
   jobs_.erase(id);
 }
 
@@ -118,6 +136,7 @@
   j->cur = durable->record;
   j->written = j->version;
   for (const auto& p : j->cur.placed) index(j->cur, p, 1);
+  note_pending(*j);
   drop_gone_placements(id);
   want_schedule_ = true;
 }
@@ -141,6 +160,7 @@
   // Its last task may have ended here meanwhile: what a user was told stands all the same.
   if (durable->record.status == JobStatus::cancelled && j->cur.status != JobStatus::cancelled) {
     j->cur.status = JobStatus::cancelled;
+    note_pending(*j);
     std::vector<uint32_t> unsent;
     for (const auto& p : j->cur.placed) {
       const auto* d = durable->record.placement_of(p.task);
@@ -169,13 +189,14 @@
     m->id = id;
     m->part = durable->record.part;
     m->since = m->last_news = ctx_.now;
-    for (auto& [job_id, j] : jobs_)
-      for (const auto& p : j.cur.placed)
-        if (p.machine == id) {
-          m->placed[{job_id, p.task}] = p.attempt;
-          m->used.add(j.cur.spec.per_task, 1);
-          if (!preemptible(j.cur)) ++m->pinned;
-        }
+    if (const auto on = placed_on_.find(id); on != placed_on_.end()) {
+      m->placed = on->second;
+      for (const auto& [key, attempt] : m->placed) {
+        const auto& r = jobs_.at(key.first).cur;
+        m->used.add(r.spec.per_task, 1);
+        if (!preemptible(r)) ++m->pinned;
+      }
+    }
     m->wanted = true;
   }
   m->part = durable->record.part;
@@ -184,13 +205,11 @@
 }
 
 void Owner::machine_gone(const std::string& id) {
-  std::vector<TaskKey> tasks;
-  for (const auto& [job_id, j] : jobs_)
-    for (const auto& p : j.cur.placed)
-      if (p.machine == id) tasks.emplace_back(job_id, p.task);
-  for (const auto& [job_id, task] : tasks) {
-    unplace(*job(job_id), task);
-    mark(job_id, 1);
+  TasksOnMachine tasks;
+  if (const auto on = placed_on_.find(id); on != placed_on_.end()) tasks = on->second;
+  for (const auto& [key, attempt] : tasks) {
+    unplace(*job(key.first), key.second);
+    mark(key.first, 1);
   }
   machines_.erase(id);
   images_.forget(id);
@@ -214,7 +233,9 @@
   const auto it = std::find_if(placed.begin(), placed.end(), [&](const Placement& p) { return p.task == task; });
   if (it == placed.end()) return;
   index(j.cur, *it, -1);
+  j.left.insert(it->machine);
   placed.erase(it);
+  note_pending(j);
   want_schedule_ = true;
 }
 
@@ -237,6 +258,7 @@
     owned->prepared = owned->version;
     // A final state that is durable is never left, whatever we came to think meanwhile.
     if (durable->record.final_state()) owned->cur.status = durable->record.status;
+    note_pending(*owned);
     p.expected = durable->stamp;
     p.value = to_json(owned->cur);
     p.conditions.push_back({store::part_key(owned->part), held});
@@ -254,23 +276,25 @@
     if (outcome == WriteOutcome::applied) {
       owned->written = owned->prepared;
       if (owned->first_written_at == 0 && owned->first_placed_at > 0) owned->first_written_at = ctx_.now;
-      for (const auto& p : owned->cur.placed) touched_.insert(p.machine);
-      // Ended tasks may be forgotten now.
-      for (auto& [mid, m] : machines_)
-        if (std::any_of(m.reported.begin(), m.reported.end(), [&](const ReportedTask& t) { return t.job == id; }))
-          touched_.insert(mid);
+      touch_machines_of(*owned);
       if (owned->cur.final_state() && owned->cur.placed.empty() && !owned->dirty()) drop_job(id);
     } else if (outcome != WriteOutcome::skipped) {
       if (outcome == WriteOutcome::refused) owned->retry_at = ctx_.now + ctx_.settings.lease_s;
+      touch_machines_of(*owned);
       rebase(id);
-      for (auto& [mid, m] : machines_)
-        if (std::any_of(m.reported.begin(), m.reported.end(), [&](const ReportedTask& t) { return t.job == id; }))
-          touched_.insert(mid);
+      touch_machines_of(*owned);
     }
   };
   link_.write(std::move(w));
 }
 
+// What is durable now may be started, stopped or, where tasks have left, forgotten.
+void Owner::touch_machines_of(OwnedJob& j) {
+  for (const auto& p : j.cur.placed) touched_.insert(p.machine);
+  touched_.merge(j.left);
+  j.left.clear();
+}
+
 void Owner::write_machine(const std::string& id, int priority, std::function<bool(MachineRecord&)> change) {
   Machine* m = machine(id);
   if (!m || m->writing) return;
@@ -421,6 +445,7 @@
   switch (t.cause) {
     case ExitCause::done:
       if (j.cur.spec.kind != JobKind::service) j.cur.done.insert(t.task);
+      note_pending(j);
       m.failed_jobs.clear();
       break;
     case ExitCause::error:
@@ -578,16 +603,21 @@
   });
 }
 
-bool Owner::mass_silence(const Machine& m) const {
-  const auto* record = model_.machine(m.id);
-  int total = 0, silent = 0;
-  for (const auto& [id, o] : machines_) {
+void Owner::count_silent() {
+  silence_.clear();
+  for (const auto& [id, m] : machines_) {
     const auto* r = model_.machine(id);
-    if (!r || !record || r->record.zone != record->record.zone || r->record.address.empty()) continue;
-    ++total;
-    if (ctx_.now - o.last_news > ctx_.tune.probe_after_s) ++silent;
+    if (!r || r->record.address.empty()) continue;
+    auto& zone = silence_[r->record.zone];
+    ++zone.machines;
+    if (ctx_.now - m.last_news > ctx_.tune.probe_after_s) ++zone.silent;
   }
-  return silent > std::max(3.0, total * Tunables::kMassShare);
+}
+
+bool Owner::mass_silence(const Machine& m) const {
+  const auto* record = model_.machine(m.id);
+  const auto zone = record ? silence_.find(record->record.zone) : silence_.end();
+  return zone != silence_.end() && zone->second.silent > std::max(3.0, zone->second.machines * Tunables::kMassShare);
 }
 
 void Owner::condemn(Machine& m, const std::string& why) {
@@ -685,6 +715,7 @@
 void Owner::tick() {
   if (ctx_.now >= next_health_) {
     next_health_ = ctx_.now + ctx_.settings.report_s / 4;
+    count_silent();
     std::vector<std::string> ids;
     for (const auto& [id, m] : machines_) ids.push_back(id);
     for (const auto& id : ids) {
@@ -737,7 +768,8 @@
     free.add(m.used, -1);
     for (const auto& p : promises_)
       if (p.machine == id) free.add(p.room, -1);
-    out.push_back({id, type, &record->record.zone, record->record.spot, free, m.placed.empty(), m.pinned > 0});
+    out.push_back({id, type, shared_zone(*type, record->record.zone), record->record.spot, free, m.placed.empty(),
+                   m.pinned > 0, images_.of(id)});
   }
   return out;
 }
@@ -805,23 +837,28 @@
   return r.spec.tasks;
 }
 
-std::vector<std::string> Owner::waiting(int part) const {
-  std::vector<std::string> ids;
-  for (const auto& [id, j] : jobs_)
-    if (j.part == part && j.cur.status == JobStatus::open && j.cur.done.size() + j.cur.placed.size() < j.cur.spec.tasks &&
-        ctx_.now >= j.retry_at && model_.job(id)->record.status == JobStatus::open)
-      ids.push_back(id);
-  std::sort(ids.begin(), ids.end(), [&](const std::string& a, const std::string& b) {
-    const auto &x = jobs_.at(a).cur, &y = jobs_.at(b).cur;
-    if (x.spec.rank != y.spec.rank) return x.spec.rank > y.spec.rank;
-    const int gx = order_group(x), gy = order_group(y);
-    if (gx != gy) return gx < gy;
-    const double dx = gx == 1 ? x.submitted + x.spec.deadline_s.value_or(0) : x.submitted;
-    const double dy = gy == 1 ? y.submitted + y.spec.deadline_s.value_or(0) : y.submitted;
-    if (dx != dy) return dx < dy;
-    return a < b;
+std::vector<Owner::OwnedJob*> Owner::waiting(int part) {
+  struct Entry {
+    store::Rank rank;
+    int group;
+    double due;
+    OwnedJob* job;
+  };
+  std::vector<Entry> entries;
+  for (const auto& id : pending_) {
+    OwnedJob& j = jobs_.at(id);
+    if (j.part != part || ctx_.now < j.retry_at || model_.job(id)->record.status != JobStatus::open) continue;
+    const int group = order_group(j.cur);
+    entries.push_back({j.cur.spec.rank, group, j.cur.submitted + (group == 1 ? j.cur.spec.deadline_s.value_or(0) : 0), &j});
+  }
+  // Stable: by id in the end, as the set is.
+  std::stable_sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
+    if (a.rank != b.rank) return a.rank > b.rank;
+    return std::tie(a.group, a.due) < std::tie(b.group, b.due);
   });
-  return ids;
+  std::vector<OwnedJob*> out;
+  for (const auto& e : entries) out.push_back(e.job);
+  return out;
 }
 
 // Within a rank: what has waited too long to begin at all, then by deadline or age what can
@@ -833,12 +870,12 @@
   return 1;
 }
 
-void Owner::reserve_for_arrivals(int part, const std::vector<std::string>& waiting_ids) {
+void Owner::reserve_for_arrivals(int part, const std::vector<OwnedJob*>& waiting) {
   reserve_ = {};
   production_waits_ = false;
   for (const auto& f : demand_.expected(part)) keep_for(reserve_, f.shape, f.jobs * static_cast<double>(f.shape.tasks));
-  for (const auto& id : waiting_ids) {
-    const auto& r = jobs_.at(id).cur;
+  for (const OwnedJob* j : waiting) {
+    const auto& r = j->cur;
     production_waits_ |= !preemptible(r);
     keep_for(reserve_, r.spec, r.spec.tasks - r.done.size() - static_cast<double>(r.placed.size()));
   }
@@ -861,23 +898,42 @@
     any = true;
   }
   if (any) {
+    note_pending(j);
     ctx_.counters["placements"]++;
     mark(id, 1);
   }
   return any;
 }
 
+// Jobs of the same shape fit or don't fit alike. Empty: this one is like no other.
+std::string Owner::shape_of(const OwnedJob& j) const {
+  if (!j.avoid.empty()) return "";
+  const auto& s = j.cur.spec;
+  std::string shape = s.job_class + "|" + s.team + "|" + std::to_string(s.per_task.cpus) + "|" +
+                      std::to_string(s.per_task.gpus) + "|" + std::to_string(s.per_task.memory_gb) + "|" +
+                      (!s.spot                                              ? ""
+                       : can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall) ? "w"
+                                                                            : "s") +
+                      (s.spread ? "h" + std::to_string((s.tasks + 1) / 2) : "") + (s.one_zone ? "z" : "") +
+                      (s.zone ? *s.zone : "");
+  if (s.types)
+    for (const auto& t : *s.types) shape += "|" + t;
+  if (s.spread || s.one_zone)
+    for (const auto& [zone, n] : zones_of(j.cur)) shape += "|" + zone + std::to_string(n);
+  return shape;
+}
+
 void Owner::schedule(int part) {
-  const auto ids = waiting(part);
-  if (ids.empty()) return;
+  const auto jobs = waiting(part);
+  if (jobs.empty()) return;
   cpu_per_gpu_ = 0;
   for (const auto& [id, j] : jobs_)
     if (j.cur.spec.per_task.gpus > 0)
       cpu_per_gpu_ = std::max(cpu_per_gpu_, j.cur.spec.per_task.cpus / j.cur.spec.per_task.gpus);
-  reserve_for_arrivals(part, ids);
+  reserve_for_arrivals(part, jobs);
   // A queue for each team, served in turn by shares: who has least of its guarantee is next.
-  std::map<std::string, std::vector<std::string>> queues;
-  for (const auto& id : ids) queues[jobs_.at(id).cur.spec.team].push_back(id);
+  std::map<std::string, std::vector<OwnedJob*>> queues;
+  for (OwnedJob* j : jobs) queues[j->cur.spec.team].push_back(j);
   std::map<std::string, size_t> next;
   auto open_slots = slots(part);
   const auto load = [&](const std::string& team) {
@@ -899,21 +955,11 @@
     for (const auto& [name, queue] : queues)
       if (next[name] < queue.size() && (!team || load(name) < load(*team))) team = &name;
     if (!team) return;
-    const std::string id = queues[*team][next[*team]++];
-    OwnedJob& j = jobs_.at(id);
+    OwnedJob& j = *queues[*team][next[*team]++];
     const auto& s = j.cur.spec;
-    std::string shape;
-    if (j.cur.placed.empty() && j.avoid.empty()) {
-      shape = s.job_class + "|" + s.team + "|" + std::to_string(s.per_task.cpus) + "|" + std::to_string(s.per_task.gpus) +
-              "|" + std::to_string(s.per_task.memory_gb) + "|" +
-              (!s.spot                                              ? ""
-               : can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall) ? "w"
-                                                                    : "s") +
-              (s.zone ? *s.zone : "");
-      if (s.types)
-        for (const auto& t : *s.types) shape += "|" + t;
-      if (hopeless.count(shape)) continue;
-    }
+    const std::string& id = s.id;
+    const std::string shape = shape_of(j);
+    if (!shape.empty() && hopeless.count(shape)) continue;
     // Room promised to this job counts for it.
     bool promised = false;
     for (const auto& p : promises_)
@@ -938,75 +984,109 @@
 
 // ---- the design's path: nominate, try, commit or roll back ----
 
-bool Owner::fits_whole(const OwnedJob& contender, std::vector<Slot> picture,
+bool Owner::fits_whole(const OwnedJob& contender, std::vector<Slot>& picture,
                        std::vector<std::pair<std::string, store::Resources>>* used) const {
   ZoneCounts zones = zones_of(contender.cur);
   const uint32_t need =
       contender.cur.spec.tasks - contender.cur.done.size() - static_cast<uint32_t>(contender.cur.placed.size());
   store::Resources more;
-  for (uint32_t i = 0; i < need; ++i) {
+  std::vector<std::pair<Slot*, store::Resources>> before;
+  bool fits = true;
+  for (uint32_t i = 0; i < need && fits; ++i) {
     more.add(contender.cur.spec.per_task);
-    if (!within_limit(contender.cur.spec.team, more)) return false;
-    Slot* slot = pick_for(contender, zones, picture);
-    if (!slot) return false;
+    Slot* slot = within_limit(contender.cur.spec.team, more) ? pick_for(contender, zones, picture) : nullptr;
+    fits = slot != nullptr;
+    if (!fits) break;
+    before.emplace_back(slot, slot->free);
     slot->free.add(contender.cur.spec.per_task, -1);
     zones[*slot->zone]++;
     if (used) used->emplace_back(slot->machine, contender.cur.spec.per_task);
   }
-  return true;
+  // Rolled back, to the bit: the picture serves the next trial, too.
+  for (auto it = before.rbegin(); it != before.rend(); ++it) it->first->free = it->second;
+  return fits;
 }
 
 void Owner::scan(int part) {
   auto contenders = waiting(part);
-  std::vector<std::string> candidates;
-  for (const auto& [id, j] : jobs_) {
+  std::vector<OwnedJob*> candidates;
+  for (auto& [id, j] : jobs_) {
     if (j.part != part || j.cur.status != JobStatus::open) continue;
     const std::string reason = nomination_skip_reason(j.cur, ctx_.wall, ctx_.operators, ctx_.settings.clock_error_s);
     if (reason.empty()) {
       ctx_.counters["requeue_nominations_total"]++;
-      candidates.push_back(id);
+      candidates.push_back(&j);
     } else {
       ctx_.counters["requeue_nomination_skipped_total." + reason]++;
     }
   }
   if (contenders.empty() || candidates.empty()) return;
   // Least lost work first: what can save, then what started last.
-  std::sort(candidates.begin(), candidates.end(), [&](const std::string& a, const std::string& b) {
-    const auto &x = jobs_.at(a).cur, &y = jobs_.at(b).cur;
+  std::sort(candidates.begin(), candidates.end(), [&](const OwnedJob* a, const OwnedJob* b) {
+    const auto &x = a->cur, &y = b->cur;
     const bool sx = x.spec.checkpoint_s > 0, sy = y.spec.checkpoint_s > 0;
     if (sx != sy) return sx;
     if (x.last_start != y.last_start) return x.last_start > y.last_start;
-    return a < b;
+    return x.spec.id < y.spec.id;
   });
-  for (const auto& candidate : candidates) {
-    OwnedJob& victim = jobs_.at(candidate);
-    auto picture = slots(part);
-    for (const auto& p : victim.cur.placed)
-      for (auto& slot : picture)
-        if (slot.machine == p.machine) slot.free.add(victim.cur.spec.per_task);
-    for (auto it = contenders.begin(); it != contenders.end(); ++it) {
-      const OwnedJob& contender = jobs_.at(*it);
-      if (contender.cur.spec.rank <= victim.cur.spec.rank) break;  // sorted by rank
-      if (std::any_of(promises_.begin(), promises_.end(), [&](const Promise& p) { return p.job == *it; })) continue;
+  auto picture = slots(part);
+  std::unordered_map<std::string, size_t> by_machine;
+  const auto look = [&] {
+    picture = slots(part);
+    by_machine.clear();
+    for (size_t i = 0; i < picture.size(); ++i) by_machine[picture[i].machine] = i;
+  };
+  look();
+  // With hundreds of both, a copy of the picture for each pair kept reports and renewals waiting for seconds:
+  // one picture, rolled back after each trial, and jobs of one shape and number of tasks are tried once.
+  std::vector<std::string> shapes;
+  for (const OwnedJob* c : contenders) {
+    const std::string shape = shape_of(*c);
+    shapes.push_back(shape.empty()
+                         ? c->cur.spec.id
+                         : shape + "#" + std::to_string(c->cur.spec.tasks - c->cur.done.size() - c->cur.placed.size()));
+  }
+  for (OwnedJob* victim : candidates) {
+    std::vector<std::pair<size_t, store::Resources>> before;
+    for (const auto& p : victim->cur.placed)
+      if (const auto it = by_machine.find(p.machine); it != by_machine.end()) {
+        before.emplace_back(it->second, picture[it->second].free);
+        picture[it->second].free.add(victim->cur.spec.per_task);
+      }
+    std::unordered_set<std::string> tried;
+    bool committed = false;
+    for (size_t i = 0; i < contenders.size() && !committed; ++i) {
+      const OwnedJob& contender = *contenders[i];
+      const std::string& contender_id = contender.cur.spec.id;
+      if (contender.cur.spec.rank <= victim->cur.spec.rank) break;  // sorted by rank
+      if (tried.count(shapes[i])) continue;
+      if (std::any_of(promises_.begin(), promises_.end(), [&](const Promise& p) { return p.job == contender_id; })) continue;
       std::vector<std::pair<std::string, store::Resources>> used;
       if (!fits_whole(contender, picture, &used)) {
         ctx_.counters["requeue_rollbacks_total"]++;
+        tried.insert(shapes[i]);
         continue;
       }
+      committed = true;
       ctx_.counters["requeue_commits_total"]++;
-      ctx_.info("requeue committed: " + candidate + " makes room for " + *it);
-      victim.cur.not_before = ctx_.wall + ctx_.operators.requeue_delay_s;
-      for (auto& p : victim.cur.placed) p.stopping = true;
-      mark(candidate, 1);
+      ctx_.info("requeue committed: " + victim->cur.spec.id + " makes room for " + contender_id);
+      victim->cur.not_before = ctx_.wall + ctx_.operators.requeue_delay_s;
+      for (auto& p : victim->cur.placed) p.stopping = true;
+      mark(victim->cur.spec.id, 1);
       for (const auto& [machine_id, room] : used)
-        promises_.push_back({*it, machine_id, room, ctx_.now + ctx_.settings.lease_s});
-      contenders.erase(it);
-      break;
+        promises_.push_back({contender_id, machine_id, room, ctx_.now + ctx_.settings.lease_s});
+      contenders.erase(contenders.begin() + static_cast<long>(i));
+      shapes.erase(shapes.begin() + static_cast<long>(i));
+    }
+    if (committed) {
+      look();  // with what was promised
+    } else {
+      for (auto it = before.rbegin(); it != before.rend(); ++it) picture[it->first].free = it->second;
     }
   }
 }
 
-store::Json Owner::stats() const {
+store::Json Owner::stats() {
   store::Json j;
   j["jobs"] = jobs_.size();
   j["machines"] = machines_.size();
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -26,10 +26,11 @@
   /// At the end of a batch: place what waits, command whoever needs it.
   void work();
   std::vector<std::string> heard() const;
-  store::Json stats() const;
+  store::Json stats();
 
  private:
   using TaskKey = std::pair<std::string, uint32_t>;
+  using TasksOnMachine = std::map<TaskKey, uint64_t>;  // attempt by task
   struct OwnedJob {
     store::JobRecord cur;  // what shall be; the model holds what is durable
     int part = 0;
@@ -41,6 +42,7 @@
     double retry_at = 0;
     int failures = 0;
     std::set<std::string> avoid;
+    std::set<std::string> left;  // machines that its tasks have left since the last write: may forget them after it
     // When this owner saw the steps to the job's first whole run, for the log; 0: not seen.
     double adopted_at = 0, first_placed_at = 0, last_placed_at = 0, first_written_at = 0, whole_at = 0;
     uint32_t fetches = 0;  // tasks placed where their image was not known to be
@@ -64,8 +66,8 @@
     uint64_t uncertain = 0;
     std::set<std::string> failed_jobs;
     bool quarantined = false;
-    std::map<TaskKey, uint64_t> placed;  // attempt by task
-    int pinned = 0;                      // of these, not preemptible
+    TasksOnMachine placed;
+    int pinned = 0;  // of these, not preemptible
     store::Resources used;
   };
 
@@ -79,6 +81,8 @@
   // bookkeeping
   void adopt_job(const std::string& id, const store::JobRecord& record);
   void index(const store::JobRecord& r, const store::Placement& p, double sign);
+  void note_pending(const OwnedJob& j);
+  void touch_machines_of(OwnedJob& j);
   void rebase(const std::string& id);
   void drop_gone_placements(const std::string& id);
   void drop_job(const std::string& id);
@@ -97,6 +101,7 @@
   void task_ended(Machine& m, OwnedJob& j, const ReportedTask& t);
   void direct(Machine& m);
   void check_health(Machine& m);
+  void count_silent();
   bool mass_silence(const Machine& m) const;
   void condemn(Machine& m, const std::string& why);
   void settle_offer(Machine& m);
@@ -105,17 +110,18 @@
   std::vector<Slot> slots(int part) const;
   Fit fit_for(const OwnedJob& j) const;
   Slot* pick_for(const OwnedJob& j, const ZoneCounts& zones, std::vector<Slot>& slots) const;
-  void reserve_for_arrivals(int part, const std::vector<std::string>& waiting);
+  void reserve_for_arrivals(int part, const std::vector<OwnedJob*>& waiting);
   int order_group(const store::JobRecord& r) const;
   ZoneCounts zones_of(const store::JobRecord& r) const;
   bool within_limit(const std::string& team, const store::Resources& more) const;
   uint32_t placement_room(const store::JobRecord& r) const;
   uint32_t next_pending(const store::JobRecord& r, uint32_t from) const;
+  std::string shape_of(const OwnedJob& j) const;
   void schedule(int part);
   bool place_some(const std::string& id, OwnedJob& j, std::vector<Slot>& slots);
-  std::vector<std::string> waiting(int part) const;
+  std::vector<OwnedJob*> waiting(int part);
   void scan(int part);
-  bool fits_whole(const OwnedJob& contender, std::vector<Slot> picture,
+  bool fits_whole(const OwnedJob& contender, std::vector<Slot>& picture,
                   std::vector<std::pair<std::string, store::Resources>>* used) const;
 
   Context& ctx_;
@@ -127,6 +133,14 @@
   std::set<int> parts_;
   std::unordered_map<std::string, OwnedJob> jobs_;
   std::map<std::string, Machine> machines_;
+  // What our jobs have where, on machines of other parts and of nobody, too: looking through all jobs for
+  // each machine that came or went took seconds when dozens went at once.
+  std::unordered_map<std::string, TasksOnMachine> placed_on_;
+  std::set<std::string> pending_;  // jobs with tasks to be placed
+  struct Silence {
+    int machines = 0, silent = 0;
+  };
+  std::map<std::string, Silence> silence_;  // by zone, as of the last look
   std::map<std::string, store::Resources> team_used_;
   std::unordered_map<std::string, double> heard_;
   std::unordered_map<std::string, double> relaying_since_;  // by machine
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -9,27 +9,40 @@
 using store::JobSpec;
 
 void ImageCaches::used(const std::string& machine, const std::string& image, double gb, double cache_gb) {
-  auto& list = machines_[machine];
-  const auto it = std::find_if(list.begin(), list.end(), [&](const Cached& c) { return c.image == image; });
-  if (it != list.end()) {
-    std::rotate(it, it + 1, list.end());
+  auto& cache = machines_[machine];
+  const ImageId id = ids_.emplace(image, static_cast<ImageId>(ids_.size())).first->second;
+  const auto it = std::find_if(cache.begin(), cache.end(), [&](const Cached& c) { return c.image == id; });
+  if (it != cache.end()) {
+    std::rotate(it, it + 1, cache.end());
     return;
   }
   double total = gb;
-  for (const auto& c : list) total += c.gb;
-  while (!list.empty() && total > cache_gb) {
-    total -= list.front().gb;
-    list.erase(list.begin());
+  for (const auto& c : cache) total += c.gb;
+  while (!cache.empty() && total > cache_gb) {
+    total -= cache.front().gb;
+    cache.erase(cache.begin());
   }
-  list.push_back({image, gb});
+  cache.push_back({id, gb});
 }
 
-bool ImageCaches::has(const std::string& machine, const std::string& image) const {
+const ImageCaches::Cache* ImageCaches::of(const std::string& machine) const {
   const auto it = machines_.find(machine);
-  return it != machines_.end() &&
-         std::any_of(it->second.begin(), it->second.end(), [&](const Cached& c) { return c.image == image; });
+  return it == machines_.end() ? nullptr : &it->second;
 }
 
+std::optional<ImageCaches::ImageId> ImageCaches::id(const std::string& image) const {
+  const auto it = ids_.find(image);
+  return it == ids_.end() ? std::nullopt : std::optional(it->second);
+}
+
+namespace {
+bool holds(const ImageCaches::Cache* cache, std::optional<ImageCaches::ImageId> image) {
+  return cache && image && std::any_of(cache->begin(), cache->end(), [&](const auto& c) { return c.image == *image; });
+}
+}  // namespace
+
+bool ImageCaches::has(const std::string& machine, const std::string& image) const { return holds(of(machine), id(image)); }
+
 void keep_for(Reserve& reserve, const JobSpec& spec, double tasks) {
   if (spec.per_task.gpus <= 0 || spec.spot) return;
   reserve.gpus += spec.per_task.gpus * tasks;
@@ -97,52 +110,76 @@
 /// GPUs to be kept on each slot so that the reserve stands or, where there is too little room for it,
 /// comes to stand as work ends: on few machines, those that are nearest to it. Spread over all
 /// machines it would never be room for a large task.
-std::map<const Slot*, double> held_back(const std::vector<Slot>& slots, const Fit& fit) {
+void hold_back(std::vector<Slot>& slots, const Fit& fit) {
   const double piece = std::max(1.0, fit.reserve.gpus_per_task);
-  std::vector<std::pair<double, const Slot*>> nearest;
-  for (const auto& slot : slots)
+  std::vector<std::pair<double, Slot*>> nearest;
+  for (auto& slot : slots) {
+    slot.held_gpus = 0;
     if (!slot.spot && slot.free.gpus + store::Resources::kSlack >= piece)
       nearest.emplace_back(usable_gpus(slot.free, fit), &slot);
-  std::sort(nearest.begin(), nearest.end(), [](const auto& a, const auto& b) {
-    return a.first != b.first ? a.first > b.first : a.second->machine < b.second->machine;
-  });
-  std::map<const Slot*, double> held;
+  }
+  // The reserve takes few of many machines: a heap, not all of them sorted. Equal ones in the picture's order.
+  const auto farther = [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first < b.first : a.second > b.second;
+  };
+  std::make_heap(nearest.begin(), nearest.end(), farther);
   double left = fit.reserve.gpus;
-  for (const auto& [usable, slot] : nearest) {
-    if (left <= 0) break;
-    const double keep = std::max(piece, std::floor(std::min(left, usable) / piece) * piece);
-    held[slot] = keep;
-    left -= keep;
+  for (auto end = nearest.end(); left > 0 && end != nearest.begin(); --end) {
+    std::pop_heap(nearest.begin(), end, farther);
+    const auto& [usable, slot] = *(end - 1);
+    slot->held_gpus = std::max(piece, std::floor(std::min(left, usable) / piece) * piece);
+    left -= slot->held_gpus;
   }
-  return held;
 }
+
+/// Types and zones are few and machines many: what a type or zone allows is worked out once a call.
+class Memo {
+ public:
+  template <class Work>
+  bool operator()(const void* key, Work work) {
+    for (const auto& [k, allowed] : known_)
+      if (k == key) return allowed;
+    known_.emplace_back(key, work());
+    return known_.back().second;
+  }
+
+ private:
+  std::vector<std::pair<const void*, bool>> known_;
+};
 }  // namespace
 
+const std::string* shared_zone(const store::MachineType& type, const std::string& zone) {
+  const auto it = std::find(type.zones.begin(), type.zones.end(), zone);
+  return it == type.zones.end() ? &zone : &*it;
+}
+
 Slot* pick(const JobSpec& spec, const ZoneCounts& placed, std::vector<Slot>& slots, const Fit& fit) {
   const bool bound = fit.reserve.gpus > 0 && (spec.per_task.gpus == 0 || spec.spot);
-  const auto held = bound ? held_back(slots, fit) : std::map<const Slot*, double>{};
+  if (bound) hold_back(slots, fit);
+  Memo types, zones;
+  const auto image = fit.images ? fit.images->id(spec.image) : std::nullopt;
   Slot* best = nullptr;
   double best_score = 0;
   for (auto& slot : slots) {
-    if (!spec.per_task.fits(slot.free) || !type_allowed(spec, slot.type->name) || !kind_allowed(spec, slot.spot) ||
-        !zone_allowed(spec, *slot.zone, placed))
+    if (!spec.per_task.fits(slot.free) || !kind_allowed(spec, slot.spot) || (fit.spot_only && !slot.spot) ||
+        !types(slot.type, [&] { return type_allowed(spec, slot.type->name); }) ||
+        !zones(slot.zone, [&] { return zone_allowed(spec, *slot.zone, placed); }))
       continue;
-    if (fit.spot_only && !slot.spot) continue;
-    if (fit.avoid && fit.avoid->count(slot.machine)) continue;
+    if (fit.avoid && !fit.avoid->empty() && fit.avoid->count(slot.machine)) continue;
     const auto& size = slot.type->size;
     // CPUs beside free GPUs are theirs: a task without GPUs must not strand them.
     if (!fit.strand_gpus && spec.per_task.gpus == 0 && size.gpus > 0 &&
         slot.free.cpus - spec.per_task.cpus + store::Resources::kSlack < slot.free.gpus * fit.cpu_per_gpu)
       continue;
-    if (const auto keep = held.find(&slot); keep != held.end()) {
+    if (bound && slot.held_gpus > 0) {
       store::Resources after = slot.free;
       after.add(spec.per_task, -1);
-      if (usable_gpus(after, fit) + store::Resources::kSlack < keep->second) continue;
+      if (usable_gpus(after, fit) + store::Resources::kSlack < slot.held_gpus) continue;
     }
     // In seconds: fetches dominate starts. Work that may use spot machines leaves the others free;
     // after that the fullest machine, so that the emptiest can be given back.
     double score = 0;
-    if (fit.images && !fit.images->has(slot.machine, spec.image)) {
+    if (fit.images && !holds(slot.images, image)) {
       const double fetch_s = spec.image_gb / std::max(0.01, slot.type->fetch_gb_per_s);
       score += fetch_s;
       // The rest of the time goes into accepting and writing: a fetch of half of it makes the start late,
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -2,8 +2,10 @@
 // leader to plan. Changing a picture changes nothing else.
 #pragma once
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "store/records.h"
@@ -13,16 +15,23 @@
 /// Which images a machine has, as far as the placements seen tell: the most recently used ones.
 class ImageCaches {
  public:
+  using ImageId = uint32_t;  // names are long and compared for every machine: numbered as they come
+  struct Cached {
+    ImageId image;
+    double gb;
+  };
+  using Cache = std::vector<Cached>;  // least recently used first
+
   void used(const std::string& machine, const std::string& image, double gb, double cache_gb);
   bool has(const std::string& machine, const std::string& image) const;
+  /// Null: nothing is known to be there. Valid until the machine is forgotten.
+  const Cache* of(const std::string& machine) const;
+  std::optional<ImageId> id(const std::string& image) const;
   void forget(const std::string& machine) { machines_.erase(machine); }
 
  private:
-  struct Cached {
-    std::string image;
-    double gb;
-  };
-  std::map<std::string, std::vector<Cached>> machines_;  // least recently used first
+  std::unordered_map<std::string, ImageId> ids_;
+  std::unordered_map<std::string, Cache> machines_;
 };
 
 struct Slot {
@@ -33,8 +42,13 @@
   store::Resources free;
   bool empty = true;    // nothing placed on it
   bool pinned = false;  // holds work that may not be preempted
+  const ImageCaches::Cache* images = nullptr;
+  double held_gpus = 0;  // kept back for the reserve; worked out by `pick`
 };
 
+/// The type's own copy of the zone's name, so that slots of one zone share a pointer and `pick` compares few.
+const std::string* shared_zone(const store::MachineType& type, const std::string& zone);
+
 /// Tasks of one job by zone, those on machines included.
 using ZoneCounts = std::map<std::string, uint32_t>;
 
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -28,6 +28,7 @@
   images.used("m2", "i", 8, 50);
   std::vector<Slot> slots{slot("m1", kCpu, kA), slot("m2", kCpu, kA)};
   slots[0].free.cpus = 4;
+  slots[1].images = images.of("m2");
   EXPECT_EQ(pick(task(2, 0), {}, slots, {0, &images, nullptr})->machine, "m2");
 }
 
@@ -39,6 +40,7 @@
   slots[0].empty = false;
   slots[0].pinned = true;
   slots[0].free.cpus = 40;
+  slots[1].images = images.of("m2");
   auto t = task(2, 0);
   t.image_gb = 2.4;  // 0.6 s
   Fit fit;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -16,11 +16,11 @@
   settings_.clock_error_s = 1;
   settings_.teams = {{"red", {64, 16, 0}, {144, 40, 0}}, {"blue", {64, 16, 0}, {144, 40, 0}}};
   if (!options_.teams.empty()) settings_.teams = options_.teams;
-  settings_.report_s = 2;
-  settings_.lease_s = 14;
-  settings_.cancel_s = 39;
-  settings_.state_rps = 60;
-  settings_.state_write_rps = 20;
+  settings_.report_s = options_.report_s;
+  settings_.lease_s = options_.lease_s;
+  settings_.cancel_s = options_.cancel_s;
+  settings_.state_rps = options_.state_rps;
+  settings_.state_write_rps = options_.state_write_rps;
   settings_.value_kb = 4;
   settings_.txn_ops = 8;
   settings_.cloud_rps = options_.cloud_rps;
@@ -363,7 +363,7 @@
     PageReply reply;
     reply.revision = revision_;
     for (auto it = keys_.upper_bound(p->after); it != keys_.end(); ++it) {
-      if (reply.entries.size() == 7) {
+      if (reply.entries.size() == options_.page) {
         reply.more = true;
         break;
       }
--- a/tests/world.h
+++ b/tests/world.h
@@ -31,6 +31,9 @@
     bool boot_failures = true;
     double run_factor = 1;  // how long tasks really run, in times their estimate
     bool consolidate = true;
+    double state_rps = 60, state_write_rps = 20;
+    double report_s = 2, lease_s = 14, cancel_s = 39;
+    size_t page = 7;  // of the state service
   };
   explicit World(Options options);
 
