Keep the workers of a cut zone alive from inside it, as long as cancellations allow

Cause (logs of zone, both sites): workers of a zone that is cut off from everything met a controller of their own zone, were sent to the holder of their part beyond the cut, and lost all tasks after a lease (17.5 of 42.5 s). Now a controller that lacks the state service and hears nobody who has it renews their leases with their own token and no orders but stops of jobs known as cancelled, up to 0.95 x (cancel_s - lease_s) after its model was last proven current. Holders count from there, too: counted from any contact, a stuck watch could have made a cancellation late. Silence of a zone counts as a cut for 1.25 x cancel_s instead of two leases, and a machine heard again is not condemned for commands that failed while it was silent (found by the new test: the end of a held cut condemned them at that very moment). Ruled out: moving the replicas: at most half may be in a zone, so with two zones there is nowhere to go.

--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -84,10 +84,15 @@
   // service tells that we are the ones cut off: yield. If all lack it, it is an
   // outage, and leases stand still. With no word from all, the time is bound by
   // what a cancellation acknowledged elsewhere leaves.
+  return may_answer_blind();
+}
+
+bool Membership::may_answer_blind() const {
   for (const auto& p : peers_)
     if (fresh(p) && p.state.has_state) return false;
   if (outage_shared()) return true;
-  return ctx_.now - link_.last_contact() < ctx_.tune.blind_limit_s;
+  // Not from the last contact: renewals may succeed while changes, cancellations among them, don't come.
+  return ctx_.now - link_.current_at() < ctx_.tune.blind_limit_s;
 }
 
 void Membership::heard(const PeerState& state) {
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -27,6 +27,8 @@
   uint64_t lead_stamp() const { return lead_stamp_; }
   /// May this node still answer workers of the parts it holds?
   bool may_answer_workers() const;
+  /// Without a lease: may a worker's lease be renewed all the same?
+  bool may_answer_blind() const;
   /// Node that holds the part according to the model; empty: none known.
   std::string holder_of(int part) const;
   bool peer_hears(const std::string& machine) const;
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -356,7 +356,7 @@
   const std::string address = members_.address_of(holder);
   if (address.empty()) {
     const std::string between = members_.go_between(holder);
-    if (between.empty()) return false;
+    if (between.empty()) return keep_alive(request, report);
     ctx_.out.push_back(AnswerReport{request, {421, 0, {}, between}});
     return true;
   }
@@ -373,6 +373,25 @@
   return true;
 }
 
+// A zone cut off from everything, with the holder of its workers' part outside: they met a controller of
+// their own zone, were sent to the holder that neither reaches, and lost all their tasks a lease later,
+// though nothing had happened to them. A controller that lacks the state service itself, and hears nobody
+// who has it, renews the lease of a worker that obeyed the holder known here, with the worker's own token
+// and no orders but to stop what was cancelled before the cut. For how long, and why that leaves every
+// cancellation its time: docs/architecture.md, Cancellation.
+bool Owner::keep_alive(RequestId request, const WorkerReport& report) {
+  if (link_.lease_valid() || !members_.may_answer_blind()) return false;
+  ReportReply reply{200, report.token, {}, ""};
+  for (const auto& t : report.tasks) {
+    const auto* known = model_.job(t.job);
+    if (t.state != TaskState::exited && known && known->record.status == JobStatus::cancelled)
+      reply.commands.push_back({WorkerVerb::stop, t.job, t.task, t.attempt, 0});
+  }
+  ctx_.counters["kept_alive"]++;
+  ctx_.out.push_back(AnswerReport{request, std::move(reply)});
+  return true;
+}
+
 ReportReply Owner::reply_to(const WorkerReport& report, bool relayed) {
   const auto* record = model_.machine(report.machine);
   // Restarted in an outage: nobody can read the keys, so nobody can take over, accept or cancel either.
@@ -413,6 +432,7 @@
   m.seq = report.seq;
   m.token_seen = std::max(m.token_seen, report.token);
   m.reported = report.tasks;
+  if (ctx_.now - m.last_news > ctx_.tune.probe_after_s) m.heard_since = ctx_.now;
   m.last_news = ctx_.now;
   if (report.notice_s && !m.notice_s) {
     // What can save goes elsewhere in time; the rest runs on as long as it may.
@@ -647,8 +667,11 @@
     m.wanted = true;
     touched_.insert(m.id);
   }
-  const double deaf = m.direct_failing_since > 0 ? ctx_.now - m.direct_failing_since : 0;
-  const bool lost_both = silent > ctx_.tune.silence_limit_s && deaf > 0;
+  // Deaf is who speaks and does not hear: silent machines, whose reports came with the end of a cut, were
+  // condemned at that very moment for the commands that had failed in it.
+  const bool failing = m.direct_failing_since > 0;
+  const double deaf = failing ? ctx_.now - std::max(m.direct_failing_since, m.heard_since) : 0;
+  const bool lost_both = silent > ctx_.tune.silence_limit_s && failing;
   const bool deaf_only = deaf > ctx_.tune.silence_limit_s;
   if (!lost_both && !deaf_only) return;
   // Cut off from us, not from others. It hears the answers to what they pass on, or its lease would end
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -50,8 +50,9 @@
   struct Machine {
     std::string id;
     int part = 0;
-    double since = 0;      // when we began to be responsible for it
-    double last_news = 0;  // last newer report, however it came
+    double since = 0;        // when we began to be responsible for it
+    double last_news = 0;    // last newer report, however it came
+    double heard_since = 0;  // when a silence last ended
     double direct_failing_since = 0;
     double relayed_at = -1e9;        // last newer report that came through another controller
     uint64_t session_when_deaf = 0;  // when direct commands began to fail
@@ -95,6 +96,7 @@
   // workers
   ReportReply reply_to(const WorkerReport& report, bool relayed);
   bool relay(RequestId request, WorkerReport& report);
+  bool keep_alive(RequestId request, const WorkerReport& report);
   bool process(Machine& m, const WorkerReport& report);
   std::vector<WorkerCommand> reconcile(Machine& m, bool& has_start);
   void tell_first_run(OwnedJob& j);
--- a/src/coordination/state_link.cpp
+++ b/src/coordination/state_link.cpp
@@ -102,12 +102,12 @@
 void StateLink::start_sync() {
   syncing_ = true;
   seen_.clear();
-  read_page("", 0);
+  read_page("", 0, ctx_.now);
 }
 
-void StateLink::read_page(std::string after, uint64_t first_revision) {
+void StateLink::read_page(std::string after, uint64_t first_revision, double began) {
   const double sent = ctx_.now;
-  ctx_.call(ReadPage{"", after}, ctx_.settings.report_s, [this, sent, first_revision](CallDone&& d) {
+  ctx_.call(ReadPage{"", after}, ctx_.settings.report_s, [this, sent, first_revision, began](CallDone&& d) {
     auto* page = std::get_if<PageReply>(&d.reply);
     if (d.status != 200 || !page) {
       failed(sent, d.status);
@@ -122,7 +122,7 @@
       if (!model_.apply(e)) ctx_.complain("record", "record " + e.key + " can't be read");
     }
     if (page->more && !page->entries.empty()) {
-      read_page(page->entries.back().key, revision);
+      read_page(page->entries.back().key, revision, began);
       return;
     }
     // Leased keys are the only ones that vanish; a gap may have hidden it.
@@ -135,6 +135,7 @@
     seen_.clear();
     syncing_ = false;
     synced_ = true;
+    current_at_ = std::max(current_at_, began);
     ctx_.info("model read up to revision " + std::to_string(revision));
     model_advanced();
   });
@@ -161,6 +162,7 @@
               for (const auto& e : reply->events)
                 if (!model_.apply(e)) ctx_.complain("record", "record " + e.key + " can't be read");
               model_.reached(reply->revision);
+              current_at_ = std::max(current_at_, sent);
               model_advanced();
             });
 }
--- a/src/coordination/state_link.h
+++ b/src/coordination/state_link.h
@@ -47,6 +47,8 @@
   bool in_doubt() const { return !synced_ || failing_ || !lease_valid(); }
   uint64_t lease() const { return lease_; }
   double last_contact() const { return last_contact_; }
+  /// The model holds all that was written before this time. Other requests may succeed while the changes don't come.
+  double current_at() const { return current_at_; }
   double backlog() const;
   /// How long a write of the first priority would wait now.
   double accept_delay() const;
@@ -64,7 +66,7 @@
   void failed(double sent_at, int status);
   void renew();
   void start_sync();
-  void read_page(std::string after, uint64_t first_revision);
+  void read_page(std::string after, uint64_t first_revision, double began);
   void follow();
   void send_proof();
   void fail_proofs();
@@ -78,7 +80,7 @@
   Context& ctx_;
   store::Model& model_;
   uint64_t lease_ = 0;
-  double lease_until_ = 0, next_renew_ = 0, last_contact_ = 0;
+  double lease_until_ = 0, next_renew_ = 0, last_contact_ = 0, current_at_ = -1e9;
   bool renewing_ = false, failing_ = false;
   bool synced_ = false, syncing_ = false, following_ = false;
   double next_sync_ = 0, next_follow_ = 0;
--- a/src/coordination/tunables.h
+++ b/src/coordination/tunables.h
@@ -17,8 +17,8 @@
         probe_every_s(s.report_s / 2),
         direct_timeout_s(s.report_s),
         silence_limit_s(s.lease_s * 0.6),
-        mass_silence_limit_s(s.lease_s * 2),
-        blind_limit_s((s.cancel_s - s.lease_s) * 0.85),
+        mass_silence_limit_s(std::max(s.lease_s * 2, s.cancel_s * 1.25)),
+        blind_limit_s((s.cancel_s - s.lease_s) * 0.95),
         home_steady_s(s.lease_s * 1.5),
         relay_s(s.lease_s * 2),
         relay_limit_s(s.lease_s * 4),
@@ -32,8 +32,8 @@
   // A worker speaks every 1.25 report_s at the latest: twice that is suspicious.
   double probe_after_s, probe_every_s, direct_timeout_s;
   double silence_limit_s, mass_silence_limit_s;
-  // Without the state service a cancellation may be acknowledged elsewhere: the
-  // lease of our workers has to lapse within cancel_s of that.
+  // Without the state service a cancellation may be acknowledged elsewhere: the lease of our workers, counted
+  // from when they sent their last report, has to lapse within cancel_s of that. The rest is for clocks.
   double blind_limit_s;
   double home_steady_s;
   // Reports are passed on for so long before the worker is sent to its holder again (a try costs it half a
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -216,6 +216,45 @@
   }
 }
 
+// A zone cut off from everything, the holder of its workers' part outside: the controller inside sent them
+// to that holder, and all their tasks were killed by their leases. Now it keeps them, and still every
+// cancellation takes effect in time (which the world checks), told before the cut or in it.
+TEST(Core, AZoneCutOffFromEverythingKeepsItsTasks) {
+  for (const bool hold : {false, true}) {
+    World::Options options;
+    options.consolidate = false;
+    World w(options);
+    w.submit(spec("job-2", store::JobKind::service, 10, 10, 0), 3);
+    w.submit(spec("job-3", store::JobKind::service, 4, 4, 0), 3);
+    w.submit(spec("job-4", store::JobKind::service, 4, 4, 0), 3);
+    w.run_until(40);
+    ASSERT_EQ(w.running("job-2"), 10u);
+    w.cancel("job-3", 39.97);
+    w.run_until(40.02);
+    w.cut_zone("b", {2}, 32, hold);  // node-1 holds the part
+    w.cancel("job-4", 41);
+    w.run_until(71);
+    EXPECT_EQ(w.running("job-2"), 10u);
+    w.run_until(140);
+    EXPECT_EQ(w.running("job-2"), 10u);
+    EXPECT_EQ(w.starts_of("job-2"), 10u);
+    EXPECT_EQ(w.running("job-3") + w.running("job-4"), 0u);
+    EXPECT_TRUE(w.broken.empty()) << first(w);
+  }
+}
+
+// For longer than cancellations allow: the leases of its workers lapse before that, by the world's rules.
+TEST(Core, AZoneCutOffForLongBreaksNoCancellation) {
+  World w({});
+  for (int i = 0; i < 4; ++i) w.submit(spec("job-" + std::to_string(i), store::JobKind::service, 4, 4, 0), 3);
+  w.run_until(40);
+  w.cut_zone("b", {2}, 90, true);
+  for (int i = 0; i < 3; ++i) w.cancel("job-" + std::to_string(i), 40.1 + i);
+  w.run_until(200);
+  EXPECT_EQ(w.running("job-3"), 4u);
+  EXPECT_TRUE(w.broken.empty()) << first(w);
+}
+
 // One-way cut with a cancellation pending: the tasks have to be gone within cancel_s.
 TEST(Core, ACancellationReachesAMachineThatDoesNotHear) {
   World w({});
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -200,6 +200,14 @@
   for (const auto& [id, w] : workers_) cut(node_name(n), id, for_s, hold);
 }
 
+void World::cut_zone(const std::string& zone, const std::set<int>& nodes_inside, double for_s, bool hold) {
+  std::vector<std::string> inside, outside{"state", "cloud", "users"};
+  for (int n = 0; n < options_.nodes; ++n) (nodes_inside.count(n) ? inside : outside).push_back(node_name(n));
+  for (const auto& [id, w] : workers_) (w.zone == zone ? inside : outside).push_back(id);
+  for (const auto& a : inside)
+    for (const auto& b : outside) cut(a, b, for_s, hold);
+}
+
 void World::cut_node(int n, double for_s, bool hold) { cut(node_name(n), "*", for_s, hold); }
 
 void World::perform(int n, int generation, Call&& c) {
