A job on more machines than a transaction takes conditions starts in several writes

Now placements go on with the next write, and the writes of a refused transaction go alone, so that one at fault does not keep others from leaving. Ruled out: values over value_kb and leases (no such write). The new test failed before.

--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -277,6 +277,7 @@
       owned->written = owned->prepared;
       if (owned->first_written_at == 0 && owned->first_placed_at > 0) owned->first_written_at = ctx_.now;
       touch_machines_of(*owned);
+      want_schedule_ |= pending_.count(id) != 0;
       if (owned->cur.final_state() && owned->cur.placed.empty() && !owned->dirty()) drop_job(id);
     } else if (outcome != WriteOutcome::skipped) {
       if (outcome == WriteOutcome::refused) owned->retry_at = ctx_.now + ctx_.settings.lease_s;
@@ -908,11 +909,23 @@
   if (j.cur.spec.kind == JobKind::gang && (!j.cur.placed.empty() || !fits_whole(j, slots, nullptr))) return false;
   ZoneCounts zones = zones_of(j.cur);
   uint32_t room = placement_room(j.cur);
+  // A placement is conditioned on its machine's record, and a transaction takes four conditions an operation:
+  // a large array on many machines was refused as malformed, and set aside for a lease, again and again.
+  // What needs more machines goes on with the next write; the job's and the part's keys count, too.
+  const size_t most_machines = std::max(1, ctx_.settings.txn_ops * 4 - 2);
+  std::set<std::string> unwritten;
+  const auto* durable = model_.job(id);
+  for (const auto& p : j.cur.placed)
+    if (const auto* d = durable ? durable->record.placement_of(p.task) : nullptr; !d || d->attempt != p.attempt)
+      unwritten.insert(p.machine);
   bool any = false;
   for (uint32_t t = next_pending(j.cur, 0); t < j.cur.spec.tasks && room > 0; t = next_pending(j.cur, t + 1)) {
     if (!within_limit(j.cur.spec.team, j.cur.spec.per_task)) break;
     Slot* slot = pick_for(j, zones, slots);
     if (!slot) break;
+    // Gangs are whole or not at all.
+    if (j.cur.spec.kind != JobKind::gang && !unwritten.count(slot->machine) && unwritten.size() >= most_machines) break;
+    unwritten.insert(slot->machine);
     place(j, t, slot->machine);
     slot->free.add(j.cur.spec.per_task, -1);
     slot->empty = false;
--- a/src/coordination/state_link.cpp
+++ b/src/coordination/state_link.cpp
@@ -246,7 +246,7 @@
       auto& queue = queue_[priority];
       for (auto it = queue.begin(); it != queue.end() && !full;) {
         ItemPtr item = *it;
-        if (keys_in_flight_.count(item->request.key) || keys.count(item->request.key)) {
+        if (keys_in_flight_.count(item->request.key) || keys.count(item->request.key) || (item->alone && !items.empty())) {
           ++it;
           continue;
         }
@@ -276,7 +276,7 @@
         keys.insert(item->request.key);
         items.push_back(item);
         it = queue.erase(it);
-        full = items.size() >= ops;
+        full = item->alone || items.size() >= ops;
       }
       if (full) break;
     }
@@ -348,11 +348,13 @@
     }
     return;
   }
-  ctx_.complain("txn", "state service refused a transaction with status " + std::to_string(d.status));
+  ctx_.complain("txn", "state service refused a transaction of " + std::to_string(items.size()) + " writes, the first of " +
+                           items.front()->request.key + ", with status " + std::to_string(d.status));
   for (const auto& item : items) {
     keys_in_flight_.erase(item->request.key);
     // One bad write must not take the others of its transaction with it.
     if (items.size() > 1 && item->prepared.lease == 0) {
+      item->alone = true;
       requeue(item);
     } else {
       item->request.done(WriteOutcome::refused, 0);
--- a/src/coordination/state_link.h
+++ b/src/coordination/state_link.h
@@ -60,6 +60,7 @@
     WriteRequest request;
     Prepared prepared;
     std::string writer;
+    bool alone = false;  // its transaction was refused: which of the writes was at fault is seen when each goes alone
   };
   using ItemPtr = std::shared_ptr<Item>;
   void succeeded(double sent_at);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -304,6 +304,27 @@
   EXPECT_TRUE(w.broken.empty()) << first(w);
 }
 
+// Each new placement is conditioned on its machine, and a transaction takes 32 conditions: a task on each of
+// 40 machines was refused as malformed, and its job set aside, for good.
+TEST(Core, AnArrayThatNeedsManyMachinesStarts) {
+  World::Options options;
+  options.boot_failures = false;
+  options.teams = {{"red", {400, 0, 0}, {800, 0, 0}}};
+  options.types = {{"small", {4, 0, 16}, 50, 1, 0.2, 0.1, 8, {"a", "b"}}};
+  options.capacity = {{"small", 30}};
+  World w(options);
+  for (int i = 0; i < 40; ++i) {  // so that all its machines are free at once
+    w.submit(spec("job-" + std::to_string(100 + i), store::JobKind::service, 1, 4, 0), 3);
+    w.cancel("job-" + std::to_string(100 + i), 35);
+  }
+  auto large = spec("job-1", store::JobKind::array, 40, 4, 60);
+  large.spot = false;
+  w.submit(large, 39);
+  w.run_until(50);
+  EXPECT_EQ(w.running("job-1"), 40u);
+  EXPECT_TRUE(w.broken.empty()) << first(w);
+}
+
 TEST(Core, ATeamNeverExceedsItsLimit) {
   World w({});
   for (int i = 1; i <= 30; ++i) w.submit(spec("job-" + std::to_string(i), store::JobKind::array, 10, 4, 6), 3 + i * 0.1);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -335,6 +335,11 @@
   ++work_.state_requests;
   if (const auto* t = std::get_if<Txn>(&c.body)) {
     work_.writes += t->writes.size();
+    const auto ops = static_cast<size_t>(settings_.txn_ops);
+    if (t->writes.size() > ops || t->conditions.size() > ops * 4) {
+      done.status = 400;
+      return done;
+    }
     TxnReply reply;
     for (const auto& cond : t->conditions) {
       const auto it = keys_.find(cond.key);
