What stood in line at the start is not expected to arrive again; arrivals kept by time

The jobs that stood in line at the start, 509 gateways, counted as arrivals of three boot times: spare room for 170 more of them, a quarter of the fleet, until 150 s. Now the densest half boot time is left out where it holds more than half of all; a controller that has just begun reckons with the time it has seen; arrivals are kept by time (256 of them were less than three boot times at this size).

--- a/src/coordination/demand.cpp
+++ b/src/coordination/demand.cpp
@@ -8,19 +8,23 @@
 namespace {
 // The window in which arrivals are counted, in boot times of the slowest machine type.
 constexpr double kWindow = 3;
+// What comes at one stroke (all that stood in line when the service began, say) tells nothing of what will
+// come: where half a boot time brought more than half of all, and not just a few, it is left out.
+constexpr double kStroke = 0.5;
+constexpr size_t kFew = 8;
 }  // namespace
 
 void Demand::job_changed(const std::string& id) {
   const auto& rec = model_.job(id)->record;
   // Each job once: its first record has no attempts yet.
   if (rec.attempts > 0 || rec.final_state() || rec.submitted < ctx_.wall - ctx_.settings.lease_s) return;
+  if (since_ == 0) since_ = ctx_.wall;
   auto& a = arrivals_[{members_.part_of_team(rec.spec.team), rec.spec.job_class}];
   if (!a.times.empty() && a.last.id == id) return;
   a.tasks_mean = a.times.empty() ? rec.spec.tasks : 0.8 * a.tasks_mean + 0.2 * rec.spec.tasks;
   a.times.push_back(rec.submitted);
   a.last = rec.spec;
-  constexpr size_t kMost = 256;
-  if (a.times.size() > kMost) a.times.pop_front();
+  while (a.times.front() < ctx_.wall - 2 * kWindow * boot_s()) a.times.pop_front();
 }
 
 double Demand::boot_s() const {
@@ -31,12 +35,26 @@
 
 std::vector<Demand::Forecast> Demand::expected(int part) const {
   std::vector<Forecast> out;
-  const double boot = boot_s(), window = boot * kWindow;
+  const double boot = boot_s(), window = boot * kWindow, stroke = boot * kStroke;
   for (const auto& [key, a] : arrivals_) {
     if (key.first != part) continue;
-    const auto recent = std::count_if(a.times.begin(), a.times.end(), [&](double t) { return t >= ctx_.wall - window; });
+    std::vector<double> times;
+    for (const double t : a.times)
+      if (t > ctx_.wall - window) times.push_back(t);
+    std::sort(times.begin(), times.end());  // they come by several controllers' clocks
+    size_t recent = times.size(), densest = 0;
+    for (size_t from = 0, to = 0; to < times.size(); ++to) {
+      while (times[to] - times[from] > stroke) ++from;
+      densest = std::max(densest, to - from + 1);
+    }
+    // A controller that has just begun has seen no more than that.
+    double seen_s = std::clamp(ctx_.wall - since_, stroke, window);
+    if (recent > kFew && densest > recent / 2) {
+      recent -= densest;
+      seen_s = std::max(stroke, seen_s - stroke);
+    }
     if (recent == 0) continue;
-    const double mean = static_cast<double>(recent) / kWindow;
+    const double mean = static_cast<double>(recent) * boot / seen_s;
     Forecast f{a.last, static_cast<int>(std::ceil(mean + std::sqrt(mean)))};
     f.shape.tasks = static_cast<uint32_t>(std::max(1.0, std::round(a.tasks_mean)));
     out.push_back(std::move(f));
--- a/src/coordination/demand.h
+++ b/src/coordination/demand.h
@@ -33,6 +33,7 @@
   const store::Model& model_;
   const Membership& members_;
   std::map<std::pair<int, std::string>, Arrivals> arrivals_;
+  double since_ = 0;  // time of day of the first arrival seen
 };
 
 }  // namespace rushtrestle::coordination
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -100,6 +100,26 @@
   EXPECT_LE(many.state_requests, few.state_requests * kTimes);
 }
 
+// All that stood in line at the start counted as arrivals of three boot times: spare room for a third of it
+// again was rented, and kept for as long.
+TEST(Scale, WhatStoodInLineAtTheStartIsNotExpectedAgain) {
+  World::Options options;
+  options.teams = teams(2);
+  options.boot_failures = false;
+  options.consolidate = false;
+  options.state_rps = 250;
+  options.state_write_rps = 80;
+  options.types = {{"mid", {32, 0, 128}, 50, 1, 1.8, 0.7, 20, {"a", "b"}}};
+  options.capacity = {{"mid", 60}};
+  World w(options);
+  constexpr int kJobs = 120;  // 960 CPUs, 30 machines
+  for (int i = 0; i < kJobs; ++i) w.submit(service(i, 2, 4), 3);
+  w.run_until(55);
+  for (int i = 0; i < kJobs; ++i) EXPECT_EQ(w.running("job-" + std::to_string(i)), 4u) << i;
+  EXPECT_LE(w.machines_up(), 33u);
+  EXPECT_TRUE(w.broken.empty()) << first(w);
+}
+
 // Connections between controllers refused: each took the whole budget of the state service for its own, and
 // the service refused a third of what was asked.
 TEST(Scale, ControllersThatDontHearEachOtherShareTheBudgetAllTheSame) {
