Hand over cancellations between controllers: the gap of one refused, then all

Cause: that all controllers lack the state service was taken to mean that no cancellation can be unknown to a holder. One confirmed elsewhere between the refusal of the holder alone and the outage of all was, and its tasks went on for the whole outage.

A holder now answers only while every other controller has handed over, or its own model has shown, what was told up to blind_limit_s ago (architecture.md, Cancellation, has the argument). What is heard so is stopped at once, and every answer that renews a lease carries the stops, also while a command is under way or a start waits. A cancelled task that the record still places is stopped, too, though it can't be written.

Ruled out: that the peers' word "I lack it" could be kept with a grace time: the time since a dead incarnation's last word is not known to anybody.

--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -38,6 +38,8 @@
   s.heard = owner_.heard();
   s.nodes = members_.heard_nodes();
   s.at = ctx_.wall;
+  s.revision = model_.revision();
+  if (link_.ever_synced()) s.current_age_s = ctx_.now - link_.current_at();
   return s;
 }
 
@@ -67,7 +69,9 @@
     void operator()(TakeRelayedReport&& c) { core.owner_.take_relayed_report(c.request, c.report); }
     void operator()(TakePeerState&& c) {
       core.members_.heard(c.state);
-      core.ctx_.out.push_back(AnswerPeer{c.request, core.own_state()});
+      PeerState own = core.own_state();
+      if (c.state.has) own.handover = core.members_.hand_over(c.state);
+      core.ctx_.out.push_back(AnswerPeer{c.request, std::move(own)});
     }
     void operator()(CallDone&& c) { core.ctx_.returned(std::move(c)); }
     void operator()(Tick&&) {}
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -76,21 +76,63 @@
          std::all_of(peers_.begin(), peers_.end(), [&](const Peer& p) { return fresh(p) && !p.state.has_state; });
 }
 
+// Every cancellation that any user was told of before this time is known here: by our model, or because the
+// controller that told it has handed over all that it knows. Not the time of the last contact with the state
+// service: renewals may succeed while changes, cancellations among them, don't come.
+double Membership::covered_until() const {
+  // What our own earlier incarnations told is durable, and so in every model that was read since.
+  double until = link_.ever_synced() ? ctx_.now : former_self_covered_until_;
+  for (const auto& p : peers_) until = std::min(until, std::max(p.covered_until, link_.current_at()));
+  return until;
+}
+
+bool Membership::knows_cancellations() const { return ctx_.now - covered_until() < ctx_.tune.blind_limit_s; }
+
 bool Membership::may_answer_workers() const {
-  if (link_.lease_valid()) return true;
-  // Without a lease the keys may have gone to others. A peer that has the state
-  // service tells that we are the ones cut off: yield. If all lack it, it is an
-  // outage, and leases stand still. With no word from all, the time is bound by
-  // what a cancellation acknowledged elsewhere leaves.
-  return may_answer_blind();
+  // Without a lease the keys may have gone to others.
+  return link_.lease_valid() ? knows_cancellations() : may_answer_blind();
 }
 
 bool Membership::may_answer_blind() const {
+  // A peer that has the state service tells that we are the ones cut off: yield.
   for (const auto& p : peers_)
     if (fresh(p) && p.state.has_state) return false;
-  if (outage_shared()) return true;
-  // Not from the last contact: renewals may succeed while changes, cancellations among them, don't come.
-  return ctx_.now - link_.current_at() < ctx_.tune.blind_limit_s;
+  return knows_cancellations();
+}
+
+Handover Membership::hand_over(const PeerState& asker) const {
+  constexpr size_t kMost = 512;  // a message; what is left follows at once
+  const auto& all = model_.cancellations();
+  Handover h;
+  h.mark.incarnation = ctx_.incarnation;
+  if (asker.has && asker.has->incarnation == ctx_.incarnation && asker.has->upto <= all.size()) h.from = asker.has->upto;
+  uint64_t& upto = h.mark.upto = h.from;
+  for (; upto < all.size() && h.cancellations.size() < kMost; ++upto)
+    if (all[upto].stamp > asker.revision) h.cancellations.push_back(all[upto]);
+  h.whole = upto == all.size();
+  return h;
+}
+
+// The state service refuses us alone, others confirm cancellations, and then it is away for all: that all lack
+// it says nothing of what they told before. What they hold is asked of them; the times are ours, of asking.
+void Membership::take_over(Peer& p, const PeerState& said, double asked_at) {
+  if (!said.handover || said.handover->mark.incarnation != said.incarnation) return;
+  const Handover& h = *said.handover;
+  const bool goes_on = p.known.incarnation == said.incarnation && h.from <= p.known.upto;
+  if (!goes_on && h.from != 0) return;  // a gap: the next one begins anew
+  for (const auto& c : h.cancellations) model_.hear(c);
+  p.known = h.mark;
+  if (!h.whole) {
+    p.next_tell = ctx_.now;
+    return;
+  }
+  // One that never read the keys may have told something in an earlier incarnation that it does not know now.
+  if (!said.current_age_s) return;
+  constexpr double kDrift = 1.001;
+  const double current_at = asked_at - std::max(0.0, *said.current_age_s) * kDrift;
+  for (auto& other : peers_) other.covered_until = std::max(other.covered_until, current_at);
+  former_self_covered_until_ = std::max(former_self_covered_until_, current_at);
+  p.covered_until = std::max(p.covered_until, asked_at);
 }
 
 void Membership::heard(const PeerState& state) {
@@ -106,6 +148,7 @@
     p.hears.clear();
     p.hears.insert(std::make_move_iterator(p.state.heard.begin()), std::make_move_iterator(p.state.heard.end()));
     p.state.heard.clear();
+    p.state.handover.reset();
     p.heard_at = ctx_.now;
   }
 }
@@ -113,10 +156,16 @@
 void Membership::tell(Peer& p) {
   p.telling = true;
   p.next_tell = ctx_.now + ctx_.jitter(ctx_.tune.peer_every_s);
-  ctx_.call(TellPeer{p.settings.address, own_state()}, ctx_.tune.peer_every_s, [this, &p](CallDone&& d) {
-    p.telling = false;
-    if (const auto* state = std::get_if<PeerState>(&d.reply); d.status == 200 && state) heard(*state);
-  });
+  PeerState own = own_state();
+  own.has = p.known;
+  ctx_.call(TellPeer{p.settings.address, std::move(own)}, ctx_.tune.peer_every_s,
+            [this, &p, asked_at = ctx_.now](CallDone&& d) {
+              p.telling = false;
+              const auto* state = std::get_if<PeerState>(&d.reply);
+              if (d.status != 200 || !state || state->node != p.settings.node) return;
+              heard(*state);
+              take_over(p, *state, asked_at);
+            });
 }
 
 void Membership::tick() {
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -40,6 +40,8 @@
   std::string go_between(const std::string& node) const;
   bool holds_a_part(const std::string& node) const;
   bool outage_shared() const;
+  /// In answer to a peer: the cancellations that it has not shown to know.
+  Handover hand_over(const PeerState& asker) const;
 
   std::function<PeerState()> own_state;
   std::function<void(int part)> on_gained, on_lost;
@@ -52,10 +54,15 @@
     double heard_at = -1e9, steady_since = 0;
     double next_tell = 0;
     bool telling = false;
+    HandoverMark known;           // of its cancellations, here
+    double covered_until = -1e9;  // every cancellation that it told before this time is known here
   };
   bool fresh(const Peer& p) const { return ctx_.now - p.heard_at < ctx_.tune.peer_fresh_s; }
   const Peer* peer(const std::string& node) const;
   void tell(Peer& p);
+  void take_over(Peer& p, const PeerState& said, double asked_at);
+  double covered_until() const;
+  bool knows_cancellations() const;
   void claim(const std::string& key, uint64_t expected);
   void consider(const std::string& key, int home, int distance);
   void hand_back(int part);
@@ -71,6 +78,7 @@
   std::map<int, uint64_t> held_;  // part -> stamp of its key
   std::set<int> gaining_;         // held, but the model does not cover the key's stamp yet
   uint64_t lead_stamp_ = 0;
+  double former_self_covered_until_ = -1e9;  // what earlier incarnations of this node told
 };
 
 }  // namespace rushtrestle::coordination
--- a/src/coordination/messages.h
+++ b/src/coordination/messages.h
@@ -49,6 +49,19 @@
   double age_s = 0;
 };
 
+/// How far the cancellations that a controller's model holds are known elsewhere.
+struct HandoverMark {
+  std::string incarnation;  // whose cancellations
+  uint64_t upto = 0;        // so many of them, in its order
+};
+/// Cancellations that a controller's model holds, from `from` on, but for those that the asker's model covers.
+struct Handover {
+  HandoverMark mark;
+  uint64_t from = 0;
+  bool whole = false;  // nothing is left
+  std::vector<store::Cancellation> cancellations;
+};
+
 /// What controllers tell each other, about once a second.
 struct PeerState {
   std::string node, incarnation;
@@ -59,6 +72,11 @@
   std::vector<std::string> heard;  // machines heard from lately
   std::vector<std::string> nodes;  // controllers heard from lately
   double at = 0;                   // time of day when it was said
+  // Absent from controllers of the version before: the cautious answer follows.
+  uint64_t revision = 0;                // that its model has reached
+  std::optional<double> current_age_s;  // since its model was last proven current; none: never
+  std::optional<HandoverMark> has;      // asking: what is known here of the asked one's cancellations
+  std::optional<Handover> handover;     // answering
 };
 
 // ---- commands ----
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -102,6 +102,7 @@
   OwnedJob& j = jobs_[id];
   j.cur = record;
   j.part = members_.part_of_team(record.spec.team);
+  if (model_.cancelled(id)) j.cur.status = JobStatus::cancelled;
   if (record.attempts == 0) j.adopted_at = ctx_.now;
   for (const auto& p : j.cur.placed) index(j.cur, p, 1);
   note_pending(j);
@@ -135,6 +136,7 @@
   if (!j || !durable) return;
   for (const auto& p : j->cur.placed) index(j->cur, p, -1);
   j->cur = durable->record;
+  if (model_.cancelled(id)) j->cur.status = JobStatus::cancelled;
   j->written = j->version;
   for (const auto& p : j->cur.placed) index(j->cur, p, 1);
   note_pending(*j);
@@ -159,7 +161,7 @@
   }
   // Only the owner writes the rest of the record; others may cancel the job.
   // Its last task may have ended here meanwhile: what a user was told stands all the same.
-  if (durable->record.status == JobStatus::cancelled && j->cur.status != JobStatus::cancelled) {
+  if (model_.cancelled(id) && j->cur.status != JobStatus::cancelled) {
     j->cur.status = JobStatus::cancelled;
     note_pending(*j);
     std::vector<uint32_t> unsent;
@@ -385,22 +387,27 @@
 // cancellation its time: docs/architecture.md, Cancellation.
 bool Owner::keep_alive(RequestId request, const WorkerReport& report) {
   if (link_.lease_valid() || !members_.may_answer_blind()) return false;
-  ReportReply reply{200, report.token, {}, ""};
-  for (const auto& t : report.tasks) {
-    const auto* known = model_.job(t.job);
-    if (t.state != TaskState::exited && known && known->record.status == JobStatus::cancelled)
-      reply.commands.push_back({WorkerVerb::stop, t.job, t.task, t.attempt, 0});
-  }
   ctx_.counters["kept_alive"]++;
-  ctx_.out.push_back(AnswerReport{request, std::move(reply)});
+  ctx_.out.push_back(AnswerReport{request, {200, report.token, stops_of_cancelled(report), ""}});
   return true;
 }
 
+// Always right, whoever sends it and whatever else is under way: no answer that renews a lease goes without.
+std::vector<WorkerCommand> Owner::stops_of_cancelled(const WorkerReport& report) const {
+  std::vector<WorkerCommand> stops;
+  for (const auto& t : report.tasks)
+    if (t.state != TaskState::exited && model_.cancelled(t.job))
+      stops.push_back({WorkerVerb::stop, t.job, t.task, t.attempt, 0});
+  return stops;
+}
+
 ReportReply Owner::reply_to(const WorkerReport& report, bool relayed) {
   const auto* record = model_.machine(report.machine);
   // Restarted in an outage: nobody can read the keys, so nobody can take over, accept or cancel either.
-  // While all controllers agree on that, the worker's own token keeps its tasks alive; it gets no orders.
-  if (!link_.synced() && members_.outage_shared()) return {200, report.token, {}, ""};
+  // While all controllers agree on that, and what was cancelled before is known from them, the worker's own
+  // token keeps its tasks alive.
+  if (!link_.synced() && members_.outage_shared() && members_.may_answer_blind())
+    return {200, report.token, stops_of_cancelled(report), ""};
   if (!record || record->record.doomed()) return {};
   const int part = record->record.part;
   Machine* m = machine(report.machine);
@@ -411,15 +418,18 @@
   }
   // A higher token than ours: somebody else is entitled, we just have not heard yet.
   if (report.token > token(*m) || !members_.may_answer_workers()) return {};
-  std::vector<WorkerCommand> commands;
+  std::vector<WorkerCommand> commands = stops_of_cancelled(report);
   if (process(*m, report)) {
     if (relayed) m->relayed_at = ctx_.now;
     bool has_start = false;
-    if (!m->in_flight) commands = reconcile(*m, has_start);
-    // Starts go directly only: one in an answer could arrive after a direct stop.
-    if (has_start) {
-      commands.clear();
-      touched_.insert(m->id);
+    if (!m->in_flight) {
+      auto all = reconcile(*m, has_start);
+      // Starts go directly only: one in an answer could arrive after a direct stop.
+      if (has_start) {
+        touched_.insert(m->id);
+      } else {
+        commands = std::move(all);
+      }
     }
   }
   return {200, token(*m), std::move(commands), ""};
@@ -554,7 +564,8 @@
     // Not placed here (any more). While the record still says so, leave it alone.
     const auto* durable = model_.job(t.job);
     const auto* d = durable ? durable->record.placement_of(t.task) : nullptr;
-    if (d && d->machine == m.id && d->attempt == t.attempt) continue;
+    const bool cancelled_runs = t.state != TaskState::exited && model_.cancelled(t.job);
+    if (d && d->machine == m.id && d->attempt == t.attempt && !cancelled_runs) continue;
     if (t.state != TaskState::exited) {
       commands.push_back({WorkerVerb::stop, t.job, t.task, t.attempt, 0});
     } else if (m.uncertain == 0 && m.token_seen >= token(m)) {
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -97,6 +97,7 @@
   ReportReply reply_to(const WorkerReport& report, bool relayed);
   bool relay(RequestId request, WorkerReport& report);
   bool keep_alive(RequestId request, const WorkerReport& report);
+  std::vector<WorkerCommand> stops_of_cancelled(const WorkerReport& report) const;
   bool process(Machine& m, const WorkerReport& report);
   std::vector<WorkerCommand> reconcile(Machine& m, bool& has_start);
   void tell_first_run(OwnedJob& j);
--- a/src/coordination/state_link.h
+++ b/src/coordination/state_link.h
@@ -49,6 +49,7 @@
   double last_contact() const { return last_contact_; }
   /// The model holds all that was written before this time. Other requests may succeed while the changes don't come.
   double current_at() const { return current_at_; }
+  bool ever_synced() const { return current_at_ > kNever; }
   double backlog() const;
   /// How long a write of the first priority would wait now.
   double accept_delay() const;
@@ -81,7 +82,8 @@
   Context& ctx_;
   store::Model& model_;
   uint64_t lease_ = 0;
-  double lease_until_ = 0, next_renew_ = 0, last_contact_ = 0, current_at_ = -1e9;
+  static constexpr double kNever = -1e9;
+  double lease_until_ = 0, next_renew_ = 0, last_contact_ = 0, current_at_ = kNever;
   bool renewing_ = false, failing_ = false;
   bool synced_ = false, syncing_ = false, following_ = false;
   double next_sync_ = 0, next_follow_ = 0;
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -150,15 +150,44 @@
 }
 
 Json peer_json(const PeerState& s) {
-  return {{"node", s.node},
-          {"incarnation", s.incarnation},
-          {"has_state", s.has_state},
-          {"synced", s.synced},
-          {"backlog", s.backlog},
-          {"parts", s.parts},
-          {"heard", s.heard},
-          {"nodes", s.nodes},
-          {"at", s.at}};
+  Json j = {{"node", s.node},
+            {"incarnation", s.incarnation},
+            {"has_state", s.has_state},
+            {"synced", s.synced},
+            {"backlog", s.backlog},
+            {"parts", s.parts},
+            {"heard", s.heard},
+            {"nodes", s.nodes},
+            {"at", s.at},
+            {"revision", s.revision}};
+  if (s.current_age_s) j["current_age"] = *s.current_age_s;
+  if (s.has) j["has"] = {{"incarnation", s.has->incarnation}, {"upto", s.has->upto}};
+  if (s.handover) {
+    Json cancelled = Json::array();
+    for (const auto& c : s.handover->cancellations) cancelled.push_back({c.job, c.stamp});
+    j["handover"] = {{"incarnation", s.handover->mark.incarnation},
+                     {"from", s.handover->from},
+                     {"upto", s.handover->mark.upto},
+                     {"whole", s.handover->whole},
+                     {"cancelled", std::move(cancelled)}};
+  }
+  return j;
+}
+
+HandoverMark mark_from_json(const Json& j) {
+  const Fields f(j);
+  return {f.text("incarnation", true), f.count("upto")};
+}
+
+Handover handover_from_json(const Json& j) {
+  const Fields f(j);
+  Handover h{mark_from_json(j), f.count("from"), f.flag("whole"), {}};
+  for (const auto& c : f.list("cancelled")) {
+    h.cancellations.push_back({c.at(0).get<std::string>(), c.at(1).get<uint64_t>()});
+    if (!valid_job_id(h.cancellations.back().job)) throw Invalid{};
+  }
+  if (h.from > h.mark.upto || h.cancellations.size() > h.mark.upto - h.from) throw Invalid{};
+  return h;
 }
 
 PeerState peer_from_json(const Json& j) {
@@ -172,6 +201,11 @@
   s.heard = j.at("heard").get<std::vector<std::string>>();
   s.nodes = j.at("nodes").get<std::vector<std::string>>();
   s.at = j.at("at").get<double>();
+  const Fields f(j);
+  if (f.find("revision")) s.revision = f.count("revision");
+  if (f.find("current_age")) s.current_age_s = f.amount("current_age");
+  if (j.contains("has")) s.has = mark_from_json(j["has"]);
+  if (j.contains("handover")) s.handover = handover_from_json(j["handover"]);
   return s;
 }
 
--- a/src/store/model.cpp
+++ b/src/store/model.cpp
@@ -18,7 +18,12 @@
     const std::string id = key.substr(4);
     if (const auto* old = job(id); old && change.stamp <= old->stamp) return true;
     Stamped<JobRecord> fresh{job_record_from_json(*change.value), change.stamp, writer};
+    const bool known_cancelled = cancelled(id);
     auto& slot = jobs_[id] = std::move(fresh);
+    if (slot.record.status == JobStatus::cancelled) {
+      hearsay_.erase(id);
+      if (!known_cancelled) cancellations_.push_back({id, change.stamp});
+    }
     if (slot.record.final_state() && slot.record.placed.empty()) {
       live_.erase(id);
     } else {
@@ -50,6 +55,19 @@
   return false;
 }
 
+void Model::hear(const Cancellation& c) {
+  const auto* known = job(c.job);
+  if (cancelled(c.job) || (known && known->stamp >= c.stamp)) return;
+  hearsay_.insert(c.job);
+  cancellations_.push_back(c);
+  if (known) listener_.job_changed(c.job);
+}
+
+bool Model::cancelled(const std::string& id) const {
+  const auto* known = job(id);
+  return (known && known->record.status == JobStatus::cancelled) || hearsay_.count(id) != 0;
+}
+
 const Stamped<JobRecord>* Model::job(const std::string& id) const { return find_in(jobs_, id); }
 const Stamped<MachineRecord>* Model::machine(const std::string& id) const { return find_in(machines_, id); }
 const Holder* Model::holder(const std::string& key) const { return find_in(holders_, key); }
--- a/src/store/model.h
+++ b/src/store/model.h
@@ -24,6 +24,12 @@
   std::string writer;  // marks the write, so that an unknown outcome can be told
 };
 
+/// A job known to be cancelled, with a stamp at which its record says so.
+struct Cancellation {
+  std::string job;
+  uint64_t stamp = 0;
+};
+
 struct Holder {
   HolderRecord record;
   uint64_t stamp = 0;
@@ -47,6 +53,13 @@
   void reached(uint64_t revision) { revision_ = std::max(revision_, revision); }
   uint64_t revision() const { return revision_; }
 
+  /// What another controller's model holds: true, as a cancellation is never undone, though not read here yet.
+  void hear(const Cancellation& cancellation);
+  /// By the record, or by what was heard.
+  bool cancelled(const std::string& id) const;
+  /// All that are known, in the order in which they became known.
+  const std::vector<Cancellation>& cancellations() const { return cancellations_; }
+
   const Stamped<JobRecord>* job(const std::string& id) const;
   const Stamped<MachineRecord>* machine(const std::string& id) const;
   const Holder* holder(const std::string& key) const;
@@ -69,6 +82,8 @@
   std::vector<MachineType> types_;
   std::string types_writer_;
   std::set<std::string> live_;
+  std::vector<Cancellation> cancellations_;
+  std::set<std::string> hearsay_;  // heard of, not in the record yet
 };
 
 }  // namespace rushtrestle::store
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -127,6 +127,58 @@
   EXPECT_EQ(std::get<HttpAnswer>(decode_peer_request(5, "POST", "/relay", "{\"machine\":1}")).status, 400);
 }
 
+PeerState peer_that_hands_over() {
+  PeerState s;
+  s.node = "node-2";
+  s.incarnation = "i2";
+  s.at = 5;
+  s.revision = 90;
+  s.current_age_s = 1.5;
+  s.has = HandoverMark{"i1", 4};
+  s.handover = Handover{{"i2", 9}, 6, true, {{"job-3", 91}, {"job-7", 95}}};
+  return s;
+}
+
+TEST(Codec, WhatControllersHandOverRoundTrips) {
+  const auto answer = encode(AnswerPeer{5, peer_that_hands_over()});
+  const auto done = decode_reply(1, CallBody(TellPeer{}).index(), "", answer.status, answer.body);
+  const auto& got = std::get<PeerState>(done.reply);
+  EXPECT_EQ(got.revision, 90u);
+  EXPECT_EQ(got.current_age_s, 1.5);
+  ASSERT_TRUE(got.has && got.handover);
+  EXPECT_EQ(got.has->upto, 4u);
+  EXPECT_EQ(got.handover->mark.upto, 9u);
+  EXPECT_EQ(got.handover->from, 6u);
+  EXPECT_TRUE(got.handover->whole);
+  ASSERT_EQ(got.handover->cancellations.size(), 2u);
+  EXPECT_EQ(got.handover->cancellations[1].job, "job-7");
+  EXPECT_EQ(got.handover->cancellations[1].stamp, 95u);
+}
+
+// A controller of the version before sends none of it; one that sends nonsense is not listened to at all.
+TEST(Codec, WhatControllersHandOverMayBeAbsentButNotContradictory) {
+  const auto call = encode(Call{1, 1, TellPeer{"10.0.0.2:8081", peer_that_hands_over()}});
+  const auto status_without = [&](const char* pointer, const Json& value) {
+    Json j = Json::parse(call.body);
+    j[Json::json_pointer(pointer)] = value;
+    const auto d = decode_peer_request(5, "POST", "/peer", j.dump());
+    return std::holds_alternative<HttpAnswer>(d) ? std::get<HttpAnswer>(d).status : 0;
+  };
+  Json old = Json::parse(call.body);
+  for (const char* field : {"revision", "current_age", "has", "handover"}) old.erase(field);
+  const auto d = decode_peer_request(5, "POST", "/peer", old.dump());
+  const auto& state = std::get<TakePeerState>(std::get<Command>(d)).state;
+  EXPECT_EQ(state.node, "node-2");
+  EXPECT_FALSE(state.has || state.handover || state.current_age_s);
+  EXPECT_EQ(status_without("/handover/whole", true), 0);
+  EXPECT_EQ(status_without("/handover/whole", "yes"), 400);
+  EXPECT_EQ(status_without("/handover/from", 10), 400);
+  EXPECT_EQ(status_without("/handover/upto", 7), 400);
+  EXPECT_EQ(status_without("/handover/cancelled/0/0", "a/b"), 400);
+  EXPECT_EQ(status_without("/handover/cancelled/0", Json::array()), 400);
+  EXPECT_EQ(status_without("/has/upto", -1.5), 400);
+}
+
 TEST(Codec, UnreadableAnswersCountAsUnknownOutcomes) {
   const size_t txn = CallBody(Txn{}).index(), types = CallBody(GetTypes{}).index();
   EXPECT_EQ(decode_reply(1, txn, "", 200, "garbage").status, 0);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -82,6 +82,40 @@
   EXPECT_EQ(model.stamp_of("part/0"), 0u);
 }
 
+// A peer's word of a cancellation goes before our record only where the record is older.
+TEST(Store, CancellationsHeardOfAreKnownOnceAndContradictedByNewerRecordsOnly) {
+  struct Silent : Model::Listener {
+    std::vector<std::string> changed;
+    void job_changed(const std::string& id) override { changed.push_back(id); }
+    void machine_changed(const std::string&) override {}
+    void holder_changed(const std::string&) override {}
+  } listener;
+  Model model(listener);
+  JobRecord r;
+  r.spec.id = "job-1";
+  r.spec.tasks = 1;
+  const auto write = [&](JobStatus status, uint64_t stamp) {
+    r.status = status;
+    model.apply({"job/job-1", to_json(r), stamp});
+  };
+  write(JobStatus::open, 10);
+  model.hear({"job-1", 9});
+  EXPECT_FALSE(model.cancelled("job-1"));
+  model.hear({"job-1", 12});
+  model.hear({"job-1", 12});
+  EXPECT_TRUE(model.cancelled("job-1"));
+  EXPECT_EQ(listener.changed.size(), 2u);
+  write(JobStatus::open, 11);  // read late
+  EXPECT_TRUE(model.cancelled("job-1"));
+  write(JobStatus::cancelled, 12);
+  EXPECT_TRUE(model.cancelled("job-1"));
+  model.hear({"job-2", 13});  // submitted after our last look
+  EXPECT_TRUE(model.cancelled("job-2"));
+  ASSERT_EQ(model.cancellations().size(), 2u);
+  EXPECT_EQ(model.cancellations()[0].job, "job-1");
+  EXPECT_EQ(model.cancellations()[1].stamp, 13u);
+}
+
 TEST(Store, UnreadableRecordsLeaveNoTrace) {
   Ears ears;
   Model model(ears);
