--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -337,11 +337,11 @@
     World::Options options;
     options.seed = seed;
     World w(options);
-    w.submit(array("job-1", "red", 6, 30), 3);
+    w.submit(array("job-1", "red", 6, 45), 3);
     w.submit(service("job-2", 4, 2), 3);
     w.run_until(30);
     for (size_t m = 0; m < 2; ++m) w.mute_machine(m, 250);
-    w.run_until(110);
+    w.run_until(125);
     EXPECT_EQ(w.told("job-1"), "done") << seed;
     EXPECT_EQ(w.running("job-2"), 4u) << seed;
     EXPECT_TRUE(w.broken.empty()) << first(w);
