--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -36,7 +36,8 @@
   static constexpr double kRefusedAt = 40;
   static constexpr int kJobs = 6;  // cancelled one after the other around the outage's beginning
 
-  Gap(uint64_t seed, double outage_after_s) : world(options(seed)), outage_at(kRefusedAt + outage_after_s) {
+  Gap(uint64_t seed, double outage_after_s, std::set<int> words_of_before = {})
+      : world(options(seed, std::move(words_of_before))), outage_at(kRefusedAt + outage_after_s) {
     for (int i = 0; i < kJobs; ++i) world.submit(service("job-" + std::to_string(i), 2, 2), 3);
     world.submit(service("job-stays", 4, 2), 3);
     world.run_until(kRefusedAt);
@@ -50,9 +51,10 @@
   double outage_at;
 
  private:
-  static World::Options options(uint64_t seed) {
+  static World::Options options(uint64_t seed, std::set<int> words_of_before) {
     World::Options o;
     o.seed = seed;
+    o.words_of_before = std::move(words_of_before);
     o.consolidate = false;  // moves replicas, too
     return o;
   }
@@ -97,6 +99,20 @@
   }
 }
 
+// Beside a controller of the version before, which hands nothing over, the blind limit stays in force: what it may
+// have confirmed is stopped in time, and the fleet comes back after the outage.
+TEST(Meetings, AControllerOfTheVersionBeforeIsTakenForOneThatKnowsMore) {
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    for (const auto& before : {std::set<int>{kConfirmer}, std::set<int>{kFollower}, std::set<int>{kFollower, kConfirmer}}) {
+      Gap gap(seed, 2, before);
+      World& w = gap.world;
+      w.run_until(gap.outage_at + Gap::kOutage + 60);
+      EXPECT_EQ(w.running("job-stays"), 4u) << "seed " << seed;
+      EXPECT_TRUE(w.broken.empty()) << first(w) << " seed " << seed;
+    }
+  }
+}
+
 // The neighbours of the meeting above, with troubles that keep what was confirmed from reaching the holder.
 RC_GTEST_PROP(Meetings, NoNeighbourOfTheGapBreaksARule, ()) {
   const auto seed = *rc::gen::arbitrary<uint64_t>();
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -156,6 +156,8 @@
       }
     });
   } else if (auto* p = std::get_if<AnswerPeer>(&e)) {
+    const auto asker = peer_waiting_.find(p->request);
+    if (asker != peer_waiting_.end()) forget_new_words(p->state, n, asker->second.node);
     answer_peer(name, p->request, p->state);
   } else if (auto* passed = std::get_if<AnswerRelayedReport>(&e)) {
     answer_peer(name, passed->request, passed->reply);
@@ -166,6 +168,14 @@
   }
 }
 
+void World::forget_new_words(PeerState& state, int from, int to) const {
+  if (!options_.words_of_before.count(from) && !options_.words_of_before.count(to)) return;
+  state.revision = 0;
+  state.current_age_s.reset();
+  state.has.reset();
+  state.handover.reset();
+}
+
 void World::answer_peer(const std::string& from, RequestId request, Reply reply) {
   auto w = peer_waiting_.extract(request);
   if (w.empty()) return;
@@ -261,7 +271,9 @@
       const RequestId r = next_request_++;
       peer_waiting_[r] = {n, generation, id};
       if (const auto* state = std::get_if<TellPeer>(&call.body)) {
-        deliver(to, TakePeerState{r, state->state});
+        PeerState said = state->state;
+        forget_new_words(said, n, to);
+        deliver(to, TakePeerState{r, std::move(said)});
       } else {
         deliver(to, TakeRelayedReport{r, std::get<RelayReport>(call.body).report});
       }
--- a/tests/world.h
+++ b/tests/world.h
@@ -35,6 +35,9 @@
     double state_rps = 60, state_write_rps = 20;
     double report_s = 2, lease_s = 14, cancel_s = 39;
     size_t page = 7;  // of the state service
+    // Nodes whose words to the others are those of the version before: fields that it does not know are neither
+    // sent nor understood.
+    std::set<int> words_of_before;
   };
   explicit World(Options options);
 
@@ -159,6 +162,7 @@
   // Delay until a message arrives; nullopt: lost.
   std::optional<double> transit(const std::string& from, const std::string& to);
   void answer_peer(const std::string& from, RequestId request, Reply reply);
+  void forget_new_words(PeerState& state, int from, int to) const;
   void send(const std::string& from, const std::string& to, std::function<void()> arrive);
 
   void worker_step(const std::string& id);
