Gangs stop whole, end whole and take replacements; limits keep to the announced

`state.next`: values and transactions keep to the lower of now and next from the start; the rate falls to the announced one at the first write refused for it.

--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -247,9 +247,20 @@
   want_schedule_ = true;
 }
 
+// A gang stops in order only if all its tasks are told within gang_peer_s of the first: one of them has to save or
+// make room, so all do.
+void Owner::stop_gang_whole(OwnedJob& j) {
+  auto& placed = j.cur.placed;
+  if (j.cur.spec.kind != JobKind::gang ||
+      std::none_of(placed.begin(), placed.end(), [](const Placement& p) { return p.stopping; }))
+    return;
+  for (auto& p : placed) p.stopping = true;
+}
+
 void Owner::mark(const std::string& id, int priority) {
   OwnedJob* j = job(id);
   if (!j) return;
+  stop_gang_whole(*j);
   ++j->version;
   if (j->queued_priority <= priority) return;
   j->queued_priority = priority;
@@ -479,9 +490,14 @@
   constexpr int kFree = 3;
   const std::string id = j.cur.spec.id;
   unplace(j, t.task);
+  const bool never_joined = t.cause == ExitCause::no_room || t.cause == ExitCause::busy || t.cause == ExitCause::unknown;
+  if (!never_joined) j.attempt_over = std::max(j.attempt_over, t.attempt);
   switch (t.cause) {
     case ExitCause::done:
-      if (j.cur.spec.kind != JobKind::service) j.cur.done.insert(t.task);
+      if (j.cur.spec.kind == JobKind::array) j.cur.done.insert(t.task);
+      // The tasks of a gang complete together: what a lost machine could not tell any more is done, too.
+      if (j.cur.spec.kind == JobKind::gang)
+        for (uint32_t task = 0; task < j.cur.spec.tasks; ++task) j.cur.done.insert(task);
       note_pending(j);
       m.failed_jobs.clear();
       break;
@@ -926,14 +942,47 @@
   }
 }
 
+// All that is missing or nothing. A gang that has not started yet takes a new member for one that is known to be gone,
+// under the same attempt; once one has run, or has ended by itself, the attempt is over for all, and the next
+// begins when every old member is known to be gone.
+bool Owner::place_gang(const std::string& id, OwnedJob& j, std::vector<Slot>& slots, bool& no_room) {
+  const auto& placed = j.cur.placed;
+  const bool begun = std::any_of(placed.begin(), placed.end(), [](const Placement& p) { return p.running || p.stopping; });
+  if (!placed.empty() && (begun || j.attempt_over >= j.cur.attempts)) return false;
+  const uint32_t need = j.cur.spec.tasks - static_cast<uint32_t>(placed.size());
+  std::vector<std::pair<std::string, store::Resources>> used;
+  if (placement_room(j.cur) < need || !fits_whole(j, slots, &used)) {
+    no_room = true;
+    return false;
+  }
+  // All in one write, with a condition for each machine.
+  std::set<std::string> machines;
+  for (const auto& [machine, room] : used) machines.insert(machine);
+  if (machines.size() > most_new_machines()) return false;
+  uint32_t task = next_pending(j.cur, 0);
+  for (const auto& [machine, room] : used) {
+    place(j, task, machine);
+    for (auto& slot : slots) {
+      if (slot.machine != machine) continue;
+      slot.free.add(room, -1);
+      slot.empty = false;
+    }
+    task = next_pending(j.cur, task + 1);
+  }
+  note_pending(j);
+  ctx_.counters["placements"]++;
+  mark(id, 1);
+  return true;
+}
+
 bool Owner::place_some(const std::string& id, OwnedJob& j, std::vector<Slot>& slots, bool& no_room) {
-  if (j.cur.spec.kind == JobKind::gang && (!j.cur.placed.empty() || !fits_whole(j, slots, nullptr))) return false;
+  if (j.cur.spec.kind == JobKind::gang) return place_gang(id, j, slots, no_room);
   ZoneCounts zones = zones_of(j.cur);
   uint32_t room = placement_room(j.cur);
   // A placement is conditioned on its machine's record, and a transaction takes four conditions an operation:
   // a large array on many machines was refused as malformed, and set aside for a lease, again and again.
   // What needs more machines goes on with the next write; the job's and the part's keys count, too.
-  const size_t most_machines = std::max(1, ctx_.settings.txn_ops * 4 - 2);
+  const size_t most_machines = most_new_machines();
   std::set<std::string> unwritten;
   const auto* durable = model_.job(id);
   for (const auto& p : j.cur.placed)
@@ -944,8 +993,7 @@
     Slot* slot = pick_for(j, zones, slots);
     no_room = slot == nullptr;
     if (no_room) break;
-    // Gangs are whole or not at all.
-    if (j.cur.spec.kind != JobKind::gang && !unwritten.count(slot->machine) && unwritten.size() >= most_machines) break;
+    if (!unwritten.count(slot->machine) && unwritten.size() >= most_machines) break;
     unwritten.insert(slot->machine);
     place(j, t, slot->machine);
     slot->free.add(j.cur.spec.per_task, -1);
@@ -1045,7 +1093,21 @@
 
 bool Owner::fits_whole(const OwnedJob& contender, std::vector<Slot>& picture,
                        std::vector<std::pair<std::string, store::Resources>>* used) const {
-  ZoneCounts zones = zones_of(contender.cur);
+  const ZoneCounts zones = zones_of(contender.cur);
+  if (!contender.cur.spec.one_zone || contender.cur.spec.zone || !zones.empty())
+    return fits_whole_beside(contender, zones, picture, used);
+  // The first task's place decides the zone; what is best for it alone may have no room for the rest.
+  OwnedJob bound = contender;
+  for (const auto& zone : ctx_.settings.zones) {
+    bound.cur.spec.zone = zone;
+    if (fits_whole_beside(bound, zones, picture, used)) return true;
+    if (used) used->clear();
+  }
+  return false;
+}
+
+bool Owner::fits_whole_beside(const OwnedJob& contender, ZoneCounts zones, std::vector<Slot>& picture,
+                              std::vector<std::pair<std::string, store::Resources>>* used) const {
   const uint32_t need =
       contender.cur.spec.tasks - contender.cur.done.size() - static_cast<uint32_t>(contender.cur.placed.size());
   store::Resources more;
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -42,6 +42,7 @@
     double retry_at = 0;
     int failures = 0;
     std::set<std::string> avoid;
+    uint64_t attempt_over = 0;   // of a gang: a member has ended, so nobody joins it any more
     std::set<std::string> left;  // machines that its tasks have left since the last write: may forget them after it
     // When this owner saw the steps to the job's first whole run, for the log; 0: not seen.
     double adopted_at = 0, first_placed_at = 0, last_placed_at = 0, first_written_at = 0, whole_at = 0;
@@ -91,6 +92,7 @@
   void place(OwnedJob& j, uint32_t task, const std::string& machine);
   void unplace(OwnedJob& j, uint32_t task);
   void mark(const std::string& id, int priority);
+  static void stop_gang_whole(OwnedJob& j);
   void machine_gone(const std::string& id);
   void write_machine(const std::string& id, int priority, std::function<bool(store::MachineRecord&)> change);
 
@@ -120,12 +122,16 @@
   ZoneCounts zones_of(const store::JobRecord& r) const;
   bool within_limit(const std::string& team, const store::Resources& more) const;
   uint32_t placement_room(const store::JobRecord& r) const;
+  size_t most_new_machines() const { return static_cast<size_t>(std::max(1, ctx_.settings.txn_ops * 4 - 2)); }
   uint32_t next_pending(const store::JobRecord& r, uint32_t from) const;
   std::string shape_of(const OwnedJob& j) const;
   void schedule(int part);
+  bool place_gang(const std::string& id, OwnedJob& j, std::vector<Slot>& slots, bool& no_room);
   bool place_some(const std::string& id, OwnedJob& j, std::vector<Slot>& slots, bool& no_room);
   std::vector<OwnedJob*> waiting(int part);
   void scan(int part);
+  bool fits_whole_beside(const OwnedJob& contender, ZoneCounts zones, std::vector<Slot>& picture,
+                         std::vector<std::pair<std::string, store::Resources>>* used) const;
   bool fits_whole(const OwnedJob& contender, std::vector<Slot>& picture,
                   std::vector<std::pair<std::string, store::Resources>>* used) const;
 
--- a/src/coordination/state_link.cpp
+++ b/src/coordination/state_link.cpp
@@ -26,7 +26,8 @@
   watch_budget_.set_rate(rps * Tunables::kWatchShare);
   proof_budget_.set_rate(rps * Tunables::kProofShare);
   txn_budget_.set_rate(rps * Tunables::kTxnShare);
-  write_rate_ = ctx_.settings.state_write_rps * Tunables::kBudget * share;
+  const auto& s = ctx_.settings;
+  write_rate_ = (rate_fell_ ? std::min(s.next_write_rps, s.state_write_rps) : s.state_write_rps) * Tunables::kBudget * share;
   write_budget_.set_rate(write_rate_);
 }
 
@@ -341,6 +342,7 @@
   if (d.status == 503 || d.status == 429) {
     if (d.status == 503) failed(sent_at, d.status);
     ctx_.counters[d.status == 429 ? "state_429" : "state_503"]++;
+    if (d.status == 429 && ctx_.settings.next_write_rps > 0) rate_fell_ = true;
     hold_writes_until_ = ctx_.now + ctx_.jitter(d.status == 429 ? ctx_.settings.report_s / 20 : ctx_.settings.report_s / 5);
     for (auto it = items.rbegin(); it != items.rend(); ++it) {
       keys_in_flight_.erase((*it)->request.key);
--- a/src/coordination/state_link.h
+++ b/src/coordination/state_link.h
@@ -90,6 +90,7 @@
   std::set<std::string> seen_;
   TokenBucket watch_budget_, proof_budget_, txn_budget_, write_budget_;
   double write_rate_ = 1;
+  bool rate_fell_ = false;  // a write was refused for the rate: the lower one, if one is announced, may be in force
 
   struct Proof {
     uint64_t revision;
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <fstream>
 #include <memory>
+#include <optional>
 #include <set>
 #include <sstream>
 
@@ -32,6 +33,11 @@
     if (!t) throw SettingsError(full(key) + ": table missing");
     return {*t, full(key)};
   }
+  std::optional<Table> sub_if(const char* key) const {
+    if (!t_.contains(key)) return std::nullopt;
+    return sub(key);
+  }
+  bool has(const char* key) const { return t_.contains(key); }
   std::string text(const char* key) const {
     const auto v = t_[key].value<std::string>();
     if (!v || v->empty()) throw SettingsError(full(key) + ": text missing");
@@ -134,11 +140,18 @@
   s.cancel_s = w.positive("cancel_s");
   if (s.lease_s <= s.report_s) throw SettingsError("deployment.workers.lease_s: must be above report_s");
   if (s.cancel_s <= s.lease_s) throw SettingsError("deployment.workers.cancel_s: must be above lease_s");
+  s.gang_wait_s = w.number_or("gang_wait_s", 0);
+  s.gang_peer_s = w.number_or("gang_peer_s", 0);
   const Table st = d.sub("state");
   s.state_rps = st.positive("rps");
   s.state_write_rps = st.positive("write_rps");
   s.value_kb = st.positive("value_kb");
   s.txn_ops = static_cast<int>(st.number("txn_ops", 1));
+  if (const auto next = st.sub_if("next")) {
+    if (next->has("value_kb")) s.value_kb = std::min(s.value_kb, next->positive("value_kb"));
+    if (next->has("txn_ops")) s.txn_ops = std::min(s.txn_ops, static_cast<int>(next->number("txn_ops", 1)));
+    if (next->has("write_rps")) s.next_write_rps = next->positive("write_rps");
+  }
   const Table c = d.sub("cloud");
   s.cloud_rps = c.positive("rps");
   s.list_lag_s = c.number("list_lag_s", 0);
--- a/src/store/domain.h
+++ b/src/store/domain.h
@@ -70,8 +70,12 @@
   std::vector<TeamSettings> teams;
   std::vector<Objective> objectives;
   double report_s = 0, lease_s = 0, cancel_s = 0;
+  double gang_wait_s = 0, gang_peer_s = 0;  // 0: not told
   double state_rps = 0, state_write_rps = 0, value_kb = 0;
   int txn_ops = 0;
+  // The state service falls to `next` without notice: values and transactions keep to the lower from the start
+  // (above), the rate follows what is answered. 0: it stays.
+  double next_write_rps = 0;
   double cloud_rps = 0, list_lag_s = 0;
   double cpu_share = 0, memory_mb = 0;
   int max_connections = 0;
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -92,6 +92,7 @@
   s.spread = service && rng() % 2;
   s.one_zone = !s.spread && rng() % 3 == 0;
   s.spot = !service;
+  if (!service && rng() % 3 == 0) s.kind = store::JobKind::gang;
   if (!service && rng() % 2) {
     s.checkpoint_s = 5;
     s.save_s = 2;
--- /dev/null
+++ b/tests/gang_test.cpp
@@ -0,0 +1,172 @@
+// Gangs: all tasks run at the same time or none does.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "world.h"
+
+namespace rushtrestle::testing {
+namespace {
+
+store::JobSpec gang(const std::string& id, uint32_t tasks, double cpus, double seconds) {
+  store::JobSpec s;
+  s.id = id;
+  s.job_class = "joint";
+  s.team = "red";
+  s.kind = store::JobKind::gang;
+  s.rank = store::Rank::normal;
+  s.tasks = tasks;
+  s.per_task = {cpus, 0, 2};
+  s.image = "img";
+  s.image_gb = 1;
+  s.estimate_s = seconds;
+  s.one_zone = true;
+  s.checkpoint_s = 5;
+  s.save_s = 1;
+  return s;
+}
+
+std::string first(const World& w) { return w.broken.empty() ? "" : w.broken.front(); }
+
+TEST(Gangs, RunWholeAndAreRentedForWhole) {
+  World w({});
+  w.submit(gang("job-1", 4, 2, 10), 3);
+  w.submit(gang("job-2", 8, 12, 10), 3);  // more than any machine has, and than one zone has small ones
+  auto apart = gang("job-3", 3, 4, 10);
+  apart.one_zone = false;
+  apart.checkpoint_s = apart.save_s = 0;
+  w.submit(apart, 4);
+  auto too_large = gang("job-4", 40, 4, 10);  // 160 CPUs of 144
+  w.submit(too_large, 5);
+  w.run_until(120);
+  for (const char* id : {"job-1", "job-2", "job-3"}) EXPECT_EQ(w.told(id), "done") << id;
+  EXPECT_FALSE(w.accepted("job-4"));
+  EXPECT_EQ(w.starts_of("job-1"), 4u) << "all at once, under one attempt";
+  EXPECT_TRUE(w.broken.empty()) << first(w);
+}
+
+// A member's machine dies while the gang runs: the others end by themselves, and the next attempt begins, from the
+// last checkpoint, when all the old ones are known to be gone.
+TEST(Gangs, GoOnFromTheirCheckpointWhenAMemberIsLost) {
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    World::Options options;
+    options.seed = seed;
+    World w(options);
+    w.submit(gang("job-1", 4, 12, 30), 3);
+    w.run_until(30);
+    ASSERT_EQ(w.running("job-1"), 4u);
+    w.kill_machine(seed % 4);
+    w.run_until(150);
+    EXPECT_EQ(w.told("job-1"), "done") << seed;
+    EXPECT_TRUE(w.broken.empty()) << first(w);
+  }
+}
+
+// A machine that is cut off as all complete can't tell: one that is done means all are.
+TEST(Gangs, AreDoneWhenOneMemberIs) {
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    World::Options options;
+    options.seed = seed;
+    World w(options);
+    w.submit(gang("job-1", 4, 12, 20), 3);
+    while (w.now() < 60 && w.running("job-1") < 4) w.run_until(w.now() + 0.25);
+    w.run_until(w.now() + 18.5);
+    ASSERT_EQ(w.running("job-1"), 4u);
+    w.cut_machine(seed % 4, 300, false, false);
+    w.run_until(w.now() + 9);  // users ask every five seconds
+    EXPECT_EQ(w.told("job-1"), "done") << seed;
+    w.run_until(w.now() + 60);
+    EXPECT_TRUE(w.broken.empty()) << first(w);
+  }
+}
+
+// The zone that is best for its first task has no room for the second, and can't get any.
+TEST(Gangs, GoToTheZoneThatTakesThemWhole) {
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    World::Options options;
+    options.seed = seed;
+    options.types = {{"small", {16, 0, 64}, 50, 0.5, 1, 0.4, 8, {"a", "b"}}};
+    options.capacity = {{"small", 3}};
+    options.boot_failures = false;
+    World w(options);
+    for (const char* zone : {"a", "b"}) {
+      auto filler = gang(std::string("job-") + zone, 1, zone[0] == 'a' ? 10 : 2, 300);
+      filler.kind = store::JobKind::array;
+      filler.checkpoint_s = filler.save_s = 0;
+      filler.zone = zone;
+      filler.tasks = zone[0] == 'a' ? 3 : 1;
+      w.submit(filler, 2);
+    }
+    w.run_until(30);
+    w.submit(gang("job-1", 3, 6, 10), 30);  // zone a has 6 of 16 free thrice, b has room for two a machine
+    w.submit(gang("job-2", 2, 14, 10), 31);
+    w.run_until(110);
+    EXPECT_EQ(w.told("job-1"), "done") << seed;
+    EXPECT_EQ(w.told("job-2"), "done") << seed;
+    EXPECT_TRUE(w.broken.empty()) << first(w);
+  }
+}
+
+// The state service's limits fall without notice, in the middle of things: large arrays and gangs go on.
+TEST(Gangs, AndLargeArraysGoOnWhenTheLimitsOfTheStateServiceFall) {
+  for (const double falls_at : {12.0, 25.0, 33.0}) {
+    World::Options options;
+    options.next_limits = std::make_pair(2.0, 4);
+    World w(options);
+    auto large = gang("job-1", 300, 1, 4);
+    large.kind = store::JobKind::array;
+    large.one_zone = false;
+    large.checkpoint_s = large.save_s = 0;
+    w.submit(large, 3);
+    for (int i = 2; i < 8; ++i) w.submit(gang("job-" + std::to_string(i), 12, 1, 8), 2 + 5 * i);
+    w.at(falls_at, [&w] { w.lower_state_limits(); });
+    w.at(falls_at + 1, [&w] { w.kill_node(1, 5); });
+    w.run_until(240);
+    for (int i = 1; i < 8; ++i) EXPECT_EQ(w.told("job-" + std::to_string(i)), "done") << i << " falls at " << falls_at;
+    EXPECT_TRUE(w.broken.empty()) << first(w);
+  }
+}
+
+// A member lost before the start is replaced under the same attempt, well before the others give up waiting.
+TEST(Gangs, TakeANewMemberForOneThatIsLostBeforeTheStart) {
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    World::Options options;
+    options.seed = seed;
+    options.gang_wait_s = 200;
+    options.boot_failures = false;
+    World w(options);
+    auto j = gang("job-1", 4, 12, 10);
+    j.image_gb = 8;  // 16 s on a small machine
+    w.submit(j, 3);
+    while (w.now() < 60 && w.placed("job-1") < 4) w.run_until(w.now() + 0.5);
+    w.run_until(w.now() + 3);
+    w.kill_machine_of("job-1");
+    w.run_until(w.now() + 75);
+    EXPECT_EQ(w.told("job-1"), "done") << seed;
+    EXPECT_TRUE(w.broken.empty()) << first(w);
+  }
+}
+
+// One of its machines has to be emptied: all members are told, so that what they did is saved.
+TEST(Gangs, AreStoppedWholeAndInOrder) {
+  int in_order = 0;
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    World::Options options;
+    options.seed = seed;
+    World w(options);
+    auto j = gang("job-1", 3, 12, 40);
+    j.checkpoint_s = 1000;  // nothing is safe but by an orderly stop
+    w.submit(j, 3);
+    w.run_until(30);
+    ASSERT_EQ(w.running("job-1"), 3u);
+    w.take_machine_of("job-1", 15);
+    w.run_until(45);
+    in_order += w.safe_progress("job-1") > 5;
+    w.run_until(140);
+    EXPECT_EQ(w.told("job-1"), "done") << seed;
+    EXPECT_TRUE(w.broken.empty()) << first(w);
+  }
+  EXPECT_EQ(in_order, 6);
+}
+
+}  // namespace
+}  // namespace rushtrestle::testing
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
 
 namespace rushtrestle::protocol {
 namespace {
@@ -21,6 +25,37 @@
   return "";
 }
 
+// The state service's limits may fall to those announced at any moment, without notice.
+TEST(Settings, ValuesAndTransactionsKeepToTheLowerOfNowAndNext) {
+  const std::string path = ::testing::TempDir() + "rushtrestle-settings-" + std::to_string(::getpid()) + ".toml";
+  const auto read = [&](const std::string& next) {
+    std::ofstream(path) << "node = \"n-0\"\narea = \"a\"\nserve_on = \"127.0.0.1:1\"\npeer_listen = \"127.0.0.1:2\"\n"
+                           "[external]\ncloud = \"127.0.0.1:3\"\nstate = \"127.0.0.1:4\"\n"
+                           "[deployment]\ncount = 1\nzones = [\"a\"]\n[[deployment.teams]]\nname = \"red\"\ncpus = 1.0\n"
+                           "gpus = 0.0\ncpus_max = 2.0\ngpus_max = 0.0\n[deployment.workers]\nreport_s = 2.0\n"
+                           "lease_s = 14.0\ncancel_s = 39.0\n[deployment.state]\nrps = 60.0\nwrite_rps = 20.0\n"
+                           "value_kb = 4.0\ntxn_ops = 8\n"
+                        << next
+                        << "[deployment.cloud]\nrps = 8.0\nlist_lag_s = 3.0\n[deployment.resources]\ncores = 0.16\n"
+                           "ram_mb = 56.0\nfd_limit = 800\n";
+    const auto s = read_settings(path);
+    std::remove(path.c_str());
+    return s;
+  };
+  const auto before = read("");
+  EXPECT_EQ(before.txn_ops, 8);
+  EXPECT_DOUBLE_EQ(before.value_kb, 4);
+  EXPECT_DOUBLE_EQ(before.next_write_rps, 0);
+  const auto lower = read("[deployment.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 15.0\n");
+  EXPECT_EQ(lower.txn_ops, 4);
+  EXPECT_DOUBLE_EQ(lower.value_kb, 2);
+  EXPECT_DOUBLE_EQ(lower.state_write_rps, 20);
+  EXPECT_DOUBLE_EQ(lower.next_write_rps, 15);
+  const auto higher = read("[deployment.state.next]\nvalue_kb = 16.0\ntxn_ops = 64\n");
+  EXPECT_EQ(higher.txn_ops, 8);
+  EXPECT_DOUBLE_EQ(higher.value_kb, 4);
+}
+
 TEST(Settings, OperatorsSettingsAreRead) {
   const auto s = parse_operator_settings(
       "; comment (with parentheses\n(requeue-delay 30)\n(scan-period 2.5) (share-period 7)\n"
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -19,10 +19,13 @@
   settings_.report_s = options_.report_s;
   settings_.lease_s = options_.lease_s;
   settings_.cancel_s = options_.cancel_s;
+  settings_.gang_wait_s = options_.gang_wait_s;
+  settings_.gang_peer_s = options_.gang_peer_s;
   settings_.state_rps = options_.state_rps;
   settings_.state_write_rps = options_.state_write_rps;
-  settings_.value_kb = 4;
-  settings_.txn_ops = 8;
+  settings_.value_kb = value_kb_;
+  settings_.txn_ops = txn_ops_;
+  if (options_.next_limits) std::tie(settings_.value_kb, settings_.txn_ops) = *options_.next_limits;
   settings_.cloud_rps = options_.cloud_rps;
   settings_.list_lag_s = 3;
   settings_.cpu_share = 0.16;
@@ -337,6 +340,8 @@
 
 void World::limit_state(double for_s) { limited_until_ = now_ + for_s; }
 
+void World::lower_state_limits() { std::tie(value_kb_, txn_ops_) = *options_.next_limits; }
+
 void World::slow_state(double for_s) { slow_until_ = now_ + for_s; }
 
 void World::refuse_state(int node, double for_s) { refused_until_[node] = now_ + for_s; }
@@ -373,7 +378,7 @@
   ++work_.state_requests;
   if (const auto* t = std::get_if<Txn>(&c.body)) {
     work_.writes += t->writes.size();
-    const auto ops = static_cast<size_t>(settings_.txn_ops);
+    const auto ops = static_cast<size_t>(txn_ops_);
     if (t->writes.size() > ops || t->conditions.size() > ops * 4) {
       done.status = 400;
       return done;
@@ -394,7 +399,7 @@
         }
       reply.revision = ++revision_;
       for (const auto& w : t->writes) {
-        if (w.value && w.value->dump().size() > settings_.value_kb * 1024) fail("value of " + w.key + " is too large");
+        if (w.value && w.value->dump().size() > value_kb_ * 1024) fail("value of " + w.key + " is too large");
         change(w.key, w.value, w.lease);
       }
     }
@@ -512,6 +517,7 @@
   r.session = w.session;
   r.seq = ++w.seq;
   r.token = w.token;
+  if (w.taken_at) r.notice_s = *w.taken_at - now_;
   for (const auto& [key, t] : w.tasks) r.tasks.push_back(t.report);
   return r;
 }
@@ -528,6 +534,17 @@
   }
   for (auto& [key, t] : w.tasks) {
     const auto& spec = jobs_.at(key.first).spec;
+    if (t.report.state == TaskState::fetching && spec.kind == store::JobKind::gang) {
+      if (t.gathered_at >= 0 || now_ < t.fetch_until) continue;
+      t.gathered_at = now_;
+      w.images.insert(spec.image);
+      check_start(w, key.first, key.second);
+      if (now_ < w.sick_until) {
+        t.report.state = TaskState::exited;
+        t.report.cause = ExitCause::error;
+      }
+      continue;
+    }
     if (t.report.state == TaskState::fetching && now_ >= t.fetch_until) {
       t.report.state = TaskState::running;
       t.last_step = now_;
@@ -551,12 +568,85 @@
           at(now_ + std::uniform_real_distribution<>(0, 0.1)(rng_), [this, id = key.first] { called_off(id); });
       }
     } else if (t.report.state == TaskState::saving && now_ - t.last_step >= spec.save_s) {
+      auto& j = jobs_.at(key.first);
+      if (spec.kind == store::JobKind::gang && j.told_to_stop.size() < spec.tasks &&
+          now_ - j.first_stop_at < options_.gang_peer_s)
+        continue;  // has saved, and waits for the others
+      if (spec.kind == store::JobKind::gang && j.told_to_stop.size() == spec.tasks) {
+        j.safe = std::max(j.safe, j.progress);
+        t.report.saved = true;
+      }
       t.report.state = TaskState::exited;
       t.report.cause = ExitCause::stopped;
     }
   }
 }
 
+// The tasks of an attempt find each other, start and complete together, and end when one of them is gone.
+void World::advance_gangs() {
+  for (auto& [id, j] : jobs_) {
+    if (j.spec.kind != store::JobKind::gang || !j.accepted) continue;
+    std::map<uint64_t, std::map<uint32_t, Task*>> attempts;
+    std::map<const Task*, const Worker*> where;
+    for (auto& [machine, w] : workers_) {
+      if (w.phase != Worker::Phase::up) continue;
+      for (auto& [key, t] : w.tasks)
+        if (key.first == id) {
+          attempts[t.report.attempt][key.second] = &t;
+          where[&t] = &w;
+        }
+    }
+    for (auto& [attempt, members] : attempts) {
+      const auto is = [](const Task* t, TaskState s) { return t->report.state == s; };
+      const auto hangs = [&](const Task* t) { return now_ < where.at(t)->hang_until; };
+      const auto leave = [&](Task* t, ExitCause cause) {
+        t->report.state = TaskState::exited;
+        t->report.cause = cause;
+      };
+      const bool all = members.size() == j.spec.tasks;
+      if (j.completed.size() == j.spec.tasks) {  // the result is kept
+        for (auto& [n, t] : members)
+          if (t->gathered_at >= 0 && !is(t, TaskState::exited) && !hangs(t)) leave(t, ExitCause::done);
+        continue;
+      }
+      if (all && std::all_of(members.begin(), members.end(), [&](const auto& m) {
+            return is(m.second, TaskState::fetching) && m.second->gathered_at >= 0 && !hangs(m.second);
+          })) {
+        for (auto& [n, t] : members) t->report.state = TaskState::running;
+        j.progress = j.safe;
+        j.progressed_at = now_;
+        j.first_stop_at = -1;
+        j.told_to_stop.clear();
+      }
+      const auto runs = [&](const auto& m) { return is(m.second, TaskState::running) && !hangs(m.second); };
+      if (all && std::all_of(members.begin(), members.end(), runs)) {
+        j.progress += now_ - j.progressed_at;
+        j.progressed_at = now_;
+        if (j.spec.checkpoint_s > 0)
+          j.safe = std::max(j.safe, std::floor(j.progress / j.spec.checkpoint_s) * j.spec.checkpoint_s);
+        if (j.progress < j.spec.estimate_s * options_.run_factor) continue;
+        for (uint32_t n = 0; n < j.spec.tasks; ++n) j.completed.insert(n);
+        for (auto& [n, t] : members) leave(t, ExitCause::done);
+        continue;
+      }
+      j.progressed_at = now_;
+      for (auto& [n, t] : members) {
+        if (hangs(t)) continue;
+        if (is(t, TaskState::fetching) && t->gathered_at >= 0 && now_ - t->gathered_at > options_.gang_wait_s)
+          leave(t, ExitCause::stopped);  // `incomplete`
+        if (!is(t, TaskState::running) && !is(t, TaskState::saving)) continue;
+        const bool one_is_gone = !all || std::any_of(members.begin(), members.end(), [&](const auto& m) {
+          return hangs(m.second) || is(m.second, TaskState::fetching) ||
+                 (is(m.second, TaskState::exited) && !m.second->report.saved);
+        });
+        if (!one_is_gone) continue;
+        if (t->noticed_at < 0) t->noticed_at = now_;
+        if (now_ - t->noticed_at > options_.gang_peer_s) leave(t, ExitCause::stopped);  // `peers`
+      }
+    }
+  }
+}
+
 void World::execute(Worker& w, const std::vector<WorkerCommand>& commands) {
   for (const auto& c : commands) {
     const std::pair<std::string, uint32_t> key{c.job, c.task};
@@ -590,6 +680,11 @@
         if (r.state == TaskState::exited) w.tasks.erase(it);
       } else if (r.state != TaskState::exited) {
         const auto& spec = jobs_.at(c.job).spec;
+        if (spec.kind == store::JobKind::gang && r.state == TaskState::running && c.grace_s >= spec.save_s) {
+          auto& j = jobs_.at(c.job);
+          if (j.first_stop_at < 0) j.first_stop_at = now_;
+          if (now_ - j.first_stop_at <= options_.gang_peer_s) j.told_to_stop.insert(c.task);
+        }
         if (r.state == TaskState::running && spec.checkpoint_s > 0 && c.grace_s >= spec.save_s) {
           r.state = TaskState::saving;
           it->second.last_step = now_;
@@ -611,6 +706,7 @@
     advance(w);
     if (!w.reporting && now_ >= w.next_report) worker_report(id);
   }
+  advance_gangs();
   check_rules();
   at(now_ + 0.25, [this, id] { worker_step(id); });
 }
@@ -676,6 +772,29 @@
     w->tasks.clear();
   }
 }
+void World::kill_machine_of(const std::string& job) {
+  for (auto& [id, w] : workers_)
+    for (const auto& [key, t] : w.tasks)
+      if (key.first == job && w.phase == Worker::Phase::up) {
+        w.phase = Worker::Phase::dead;
+        w.tasks.clear();
+        return;
+      }
+}
+void World::take_machine_of(const std::string& job, double notice_s) {
+  for (auto& [id, w] : workers_)
+    for (const auto& [key, t] : w.tasks)
+      if (key.first == job) {
+        w.taken_at = now_ + notice_s;
+        w.next_report = now_;
+        at(*w.taken_at, [this, machine = id] { workers_.erase(machine); });
+        return;
+      }
+}
+size_t World::placed(const std::string& job) const {
+  const Json* record = stored("job/" + job);
+  return record && record->contains("placed") ? (*record)["placed"].size() : 0;
+}
 void World::hang_machine(size_t pick, double for_s) {
   if (Worker* w = pick_worker(pick)) w->hang_until = now_ + for_s;
 }
@@ -895,7 +1014,7 @@
   for (const auto& [id, o] : workers_) {
     if (o.phase != Worker::Phase::up) continue;
     for (const auto& [key, t] : o.tasks) {
-      if (key.first != job || (t.report.state != TaskState::running && t.report.state != TaskState::saving)) continue;
+      if (key.first != job || !on_machine(t)) continue;
       if (key.second == task && id != w.id)
         fail("ran_twice: " + job + "/" + std::to_string(task) + " on " + id + " and " + w.id);
       zones[o.zone]++;
@@ -913,7 +1032,7 @@
   for (const auto& [id, w] : workers_) {
     if (w.phase != Worker::Phase::up) continue;
     for (const auto& [key, t] : w.tasks) {
-      if (t.report.state != TaskState::running && t.report.state != TaskState::saving) continue;
+      if (!on_machine(t)) continue;
       const Job& j = jobs_.at(key.first);
       used[j.spec.team].add(j.spec.per_task);
       if (j.cancel_told && now_ - j.cancel_told_at > settings_.cancel_s && now_ >= w.hang_until)
--- a/tests/world.h
+++ b/tests/world.h
@@ -33,8 +33,9 @@
     double uneven = 0;      // task n so many times that n longer
     bool consolidate = true;
     double state_rps = 60, state_write_rps = 20;
-    double report_s = 2, lease_s = 14, cancel_s = 39;
-    size_t page = 7;  // of the state service
+    double report_s = 2, lease_s = 14, cancel_s = 39, gang_wait_s = 50, gang_peer_s = 8;
+    std::optional<std::pair<double, int>> next_limits;  // value_kb and txn_ops
+    size_t page = 7;                                    // of the state service
     // Nodes whose words to the others are those of the version before: fields that it does not know are neither
     // sent nor understood.
     std::set<int> words_of_before;
@@ -56,9 +57,13 @@
   void state_outage(double for_s);
   void refuse_state(int node, double for_s);  // only this node is refused
   void limit_state(double for_s);             // every second transaction gets 429
-  void slow_state(double for_s);              // one request in four takes seconds
+  // The limits fall to those announced, which the controllers' settings have held from the start.
+  void lower_state_limits();
+  void slow_state(double for_s);  // one request in four takes seconds
   void cut(const std::string& a, const std::string& b, double for_s, bool hold, bool one_way = false);
   void kill_machine(size_t pick);
+  void kill_machine_of(const std::string& job);                   // one that has a task of it
+  void take_machine_of(const std::string& job, double notice_s);  // the cloud takes it back
   void hang_machine(size_t pick, double for_s);
   void sick_machine(size_t pick, double for_s);
   void cut_machine(size_t pick, double for_s, bool hold, bool only_inbound);
@@ -101,6 +106,8 @@
   const Work& work() const { return work_; }
   const store::Settings& settings() const { return settings_; }
   uint64_t starts_of(const std::string& job) const;
+  size_t placed(const std::string& job) const;  // by its record
+  double safe_progress(const std::string& gang) const { return jobs_.at(gang).safe; }
   const Json* stored(const std::string& key) const;
 
  private:
@@ -119,12 +126,15 @@
   struct Task {
     ReportedTask report;
     double remaining = 0, fetch_until = 0, last_step = 0;
+    double gathered_at = -1;  // of a gang: has its image and waits for the others
+    double noticed_at = -1;   // when it was seen first that a member is gone
   };
   struct Worker {
     std::string id, type, zone, address;
     bool spot = false;
     double created = 0, up_at = 0;
     enum class Phase { booting, up, dead } phase = Phase::booting;
+    std::optional<double> taken_at;
     double hang_until = 0, sick_until = 0, mute_until = 0;
     uint64_t session = 1, seq = 0, token = 0;
     std::map<std::pair<std::string, uint32_t>, Task> tasks;
@@ -142,6 +152,9 @@
     std::optional<std::string> last_told;
     uint64_t starts = 0;
     std::set<uint32_t> completed;
+    // Gangs: progress of the present attempt, what is safe of it, and the first stop of it.
+    double progress = 0, safe = 0, progressed_at = 0, first_stop_at = -1;
+    std::set<uint32_t> told_to_stop;
   };
   struct Cut {
     std::string from, to;
@@ -170,6 +183,11 @@
   WorkerReport snapshot(Worker& w);
   void execute(Worker& w, const std::vector<WorkerCommand>& commands);
   void advance(Worker& w);
+  void advance_gangs();
+  static bool on_machine(const Task& t) {
+    return t.report.state == TaskState::running || t.report.state == TaskState::saving ||
+           (t.report.state == TaskState::fetching && t.gathered_at >= 0);
+  }
   void expire_leases();
   void change(const std::string& key, std::optional<Json> value, uint64_t lease);
   Worker* pick_worker(size_t pick);
@@ -210,6 +228,8 @@
   std::vector<Cut> cuts_;
   double copies_until_ = 0, copies_late_ = 0, copies_kept_until_ = 0;
   std::vector<std::function<void()>> kept_copies_;
+  double value_kb_ = 4;  // in force
+  int txn_ops_ = 8;
   double slow_links_until_ = 0, link_delay_s_ = 0;
   double unanswered_until_ = 0, unanswered_share_ = 0;
   bool unanswered_at_once_ = false;
