--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -126,6 +126,32 @@
   }
 }
 
+// A record written by the version before, up to the old limit, is too large to be written again until enough of its
+// tasks have ended: their ends are noticed again after each refusal, within the budget.
+TEST(Gangs, ARecordStoredUnderALargerLimitIsFinished) {
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    World::Options options;
+    options.seed = seed;
+    options.uneven = 0.03;  // one task after the other
+    World w(options);
+    auto large = gang("job-1", 60, 1, 25);
+    large.kind = store::JobKind::array;
+    large.one_zone = false;
+    large.checkpoint_s = large.save_s = 0;
+    w.submit(large, 3);
+    w.submit(gang("job-2", 4, 1, 20), 20);
+    while (w.now() < 40 && w.placed("job-1") < 60) w.run_until(w.now() + 0.25);
+    ASSERT_EQ(w.placed("job-1"), 60u);
+    w.lower_state_limits(1.2, 4);
+    w.at(w.now() + 5, [&w] { w.kill_node(1, 0.3); });
+    w.run_until(180);
+    EXPECT_EQ(w.told("job-1"), "done") << seed;
+    EXPECT_EQ(w.told("job-2"), "done") << seed;
+    EXPECT_LE(w.work().state_requests, 180u * 60);
+    EXPECT_TRUE(w.broken.empty()) << first(w);
+  }
+}
+
 // A member lost before the start is replaced under the same attempt, well before the others give up waiting.
 TEST(Gangs, TakeANewMemberForOneThatIsLostBeforeTheStart) {
   for (uint64_t seed = 1; seed <= 6; ++seed) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -340,6 +340,10 @@
 
 void World::limit_state(double for_s) { limited_until_ = now_ + for_s; }
 
+void World::lower_state_limits(double value_kb, int txn_ops) {
+  value_kb_ = value_kb;
+  txn_ops_ = txn_ops;
+}
 void World::lower_state_limits() { std::tie(value_kb_, txn_ops_) = *options_.next_limits; }
 
 void World::slow_state(double for_s) { slow_until_ = now_ + for_s; }
@@ -397,6 +401,12 @@
           done.status = 400;
           return done;
         }
+      if (value_kb_ < settings_.value_kb &&  // what was written before they fell may be larger
+          std::any_of(t->writes.begin(), t->writes.end(),
+                      [&](const Write& x) { return x.value && x.value->dump().size() > value_kb_ * 1024; })) {
+        done.status = 400;
+        return done;
+      }
       reply.revision = ++revision_;
       for (const auto& w : t->writes) {
         if (w.value && w.value->dump().size() > value_kb_ * 1024) fail("value of " + w.key + " is too large");
--- a/tests/world.h
+++ b/tests/world.h
@@ -59,6 +59,7 @@
   void limit_state(double for_s);             // every second transaction gets 429
   // The limits fall to those announced, which the controllers' settings have held from the start.
   void lower_state_limits();
+  void lower_state_limits(double value_kb, int txn_ops);
   void slow_state(double for_s);  // one request in four takes seconds
   void cut(const std::string& a, const std::string& b, double for_s, bool hold, bool one_way = false);
   void kill_machine(size_t pick);
