A gang that finds no room says nothing of others of its shape

The shape by which a pass leaves out jobs does not tell a gang's size, so one that did not fit held up smaller ones of its class in the same pass (since gangs were placed by their own step; before, they were tried each time).

--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -945,16 +945,14 @@
 // All that is missing or nothing. A gang that has not started yet takes a new member for one that is known to be gone,
 // under the same attempt; once one has run, or has ended by itself, the attempt is over for all, and the next
 // begins when every old member is known to be gone.
-bool Owner::place_gang(const std::string& id, OwnedJob& j, std::vector<Slot>& slots, bool& no_room) {
+bool Owner::place_gang(const std::string& id, OwnedJob& j, std::vector<Slot>& slots) {
   const auto& placed = j.cur.placed;
   const bool begun = std::any_of(placed.begin(), placed.end(), [](const Placement& p) { return p.running || p.stopping; });
   if (!placed.empty() && (begun || j.attempt_over >= j.cur.attempts)) return false;
   const uint32_t need = j.cur.spec.tasks - static_cast<uint32_t>(placed.size());
   std::vector<std::pair<std::string, store::Resources>> used;
-  if (placement_room(j.cur) < need || !fits_whole(j, slots, &used)) {
-    no_room = true;
-    return false;
-  }
+  // No word on the shape: a smaller gang of the same class may fit where this one does not.
+  if (placement_room(j.cur) < need || !fits_whole(j, slots, &used)) return false;
   // All in one write, with a condition for each machine.
   std::set<std::string> machines;
   for (const auto& [machine, room] : used) machines.insert(machine);
@@ -976,7 +974,7 @@
 }
 
 bool Owner::place_some(const std::string& id, OwnedJob& j, std::vector<Slot>& slots, bool& no_room) {
-  if (j.cur.spec.kind == JobKind::gang) return place_gang(id, j, slots, no_room);
+  if (j.cur.spec.kind == JobKind::gang) return place_gang(id, j, slots);
   ZoneCounts zones = zones_of(j.cur);
   uint32_t room = placement_room(j.cur);
   // A placement is conditioned on its machine's record, and a transaction takes four conditions an operation:
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -126,7 +126,7 @@
   uint32_t next_pending(const store::JobRecord& r, uint32_t from) const;
   std::string shape_of(const OwnedJob& j) const;
   void schedule(int part);
-  bool place_gang(const std::string& id, OwnedJob& j, std::vector<Slot>& slots, bool& no_room);
+  bool place_gang(const std::string& id, OwnedJob& j, std::vector<Slot>& slots);
   bool place_some(const std::string& id, OwnedJob& j, std::vector<Slot>& slots, bool& no_room);
   std::vector<OwnedJob*> waiting(int part);
   void scan(int part);
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -152,6 +152,21 @@
   }
 }
 
+// A large gang that does not fit stands before small ones of its class: they go on beside it.
+TEST(Gangs, ALargeOneThatFindsNoRoomHoldsUpNoSmallOne) {
+  World::Options options;
+  options.types = {{"small", {16, 0, 64}, 50, 0.5, 1, 0.4, 8, {"a", "b"}}};
+  options.capacity = {{"small", 2}};
+  options.boot_failures = false;
+  World w(options);
+  w.submit(gang("job-1", 8, 8, 10), 3);  // 64 CPUs in one zone, of 32
+  for (int i = 2; i < 6; ++i) w.submit(gang("job-" + std::to_string(i), 2, 8, 8), 4);
+  w.run_until(70);
+  for (int i = 2; i < 6; ++i) EXPECT_EQ(w.told("job-" + std::to_string(i)), "done") << i;
+  EXPECT_EQ(w.told("job-1"), "open");
+  EXPECT_TRUE(w.broken.empty()) << first(w);
+}
+
 // A member lost before the start is replaced under the same attempt, well before the others give up waiting.
 TEST(Gangs, TakeANewMemberForOneThatIsLostBeforeTheStart) {
   for (uint64_t seed = 1; seed <= 6; ++seed) {
