--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -37,7 +37,7 @@
   s.backlog = link_.backlog();
   for (int p = 0; p < members_.parts(); ++p)
     if (members_.held(p) != 0) s.parts.push_back(p);
-  s.heard = owner_.heard();
+  s.heard = owner_.heard_of_other_parts();
   s.nodes = members_.heard_nodes();
   s.at = ctx_.wall;
   s.revision = model_.revision();
--- a/src/coordination/messages.h
+++ b/src/coordination/messages.h
@@ -70,7 +70,7 @@
   bool synced = false;
   double backlog = 0;  // records waiting to be written
   std::vector<int> parts;
-  std::vector<std::string> heard;  // machines heard from lately
+  std::vector<std::string> heard;  // machines heard from lately; the sender's own may be left out
   std::vector<std::string> nodes;  // controllers heard from lately
   double at = 0;                   // time of day when it was said
   // Absent from controllers of the version before: the cautious answer follows.
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -343,10 +343,15 @@
   link_.write(std::move(w));
 }
 
-std::vector<std::string> Owner::heard() const {
+// Peers ask this of machines that they are responsible for, so ours are left out: with them, the messages between
+// controllers grew with the fleet and cost as much processor time as the workers' reports.
+std::vector<std::string> Owner::heard_of_other_parts() const {
   std::vector<std::string> out;
-  for (const auto& [id, at] : heard_)
-    if (ctx_.now - at < ctx_.tune.probe_after_s) out.push_back(id);
+  for (const auto& [id, at] : heard_) {
+    const auto mine = machines_.find(id);
+    const bool ours = mine != machines_.end() && members_.held(mine->second.part) != 0;
+    if (!ours && ctx_.now - at < ctx_.tune.probe_after_s) out.push_back(id);
+  }
   return out;
 }
 
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -27,7 +27,8 @@
   void tick();
   /// At the end of a batch: place what waits, command whoever needs it.
   void work();
-  std::vector<std::string> heard() const;
+  /// Machines that reported here lately though another controller holds their part.
+  std::vector<std::string> heard_of_other_parts() const;
   store::Json stats();
 
  private:
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -101,6 +101,29 @@
   EXPECT_LE(many.state_requests, few.state_requests * kTimes);
 }
 
+// Each message between controllers named every machine that the sender heard: writing and reading these names cost as
+// much processor time as the workers' reports, and grew with the fleet.
+TEST(Scale, MessagesBetweenControllersDoNotGrowWithTheFleet) {
+  World::Options options;
+  options.nodes = 5;
+  options.teams = teams(5);
+  options.boot_failures = false;
+  options.consolidate = false;
+  options.types = {{"mid", {32, 0, 128}, 50, 1, 1.8, 0.7, 8, {"a", "b"}}};
+  options.capacity = {{"mid", 60}};
+  World w(options);
+  for (int i = 0; i < 240; ++i) w.submit(service(i, 5, 4), 3);
+  w.run_until(60);
+  ASSERT_GE(w.machines_up(), 55u);
+  const World::Work before = w.work();
+  w.run_until(90);
+  const size_t messages = w.work().peer_messages - before.peer_messages;
+  EXPECT_GE(messages, 100u);
+  // Some are just given back or change parts; a fifth of the fleet would be 11.
+  EXPECT_LE(w.work().machines_named_to_peers - before.machines_named_to_peers, 2 * messages);
+  EXPECT_TRUE(w.broken.empty()) << first(w);
+}
+
 // All that stood in line at the start counted as arrivals of three boot times: spare room for a third of it
 // again was rented, and kept for as long.
 TEST(Scale, WhatStoodInLineAtTheStartIsNotExpectedAgain) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -279,6 +279,8 @@
       peer_waiting_[r] = {n, generation, id};
       if (const auto* state = std::get_if<TellPeer>(&call.body)) {
         PeerState said = state->state;
+        ++work_.peer_messages;
+        work_.machines_named_to_peers += said.heard.size();
         forget_new_words(said, n, to);
         deliver(to, TakePeerState{r, std::move(said)});
       } else {
--- a/tests/world.h
+++ b/tests/world.h
@@ -121,6 +121,7 @@
   /// Work done so far, of all controllers together.
   struct Work {
     size_t cloud_calls = 0, state_requests = 0, writes = 0, worker_messages = 0;  // the last: sent to workers
+    size_t peer_messages = 0, machines_named_to_peers = 0;
   };
   const Work& work() const { return work_; }
   const store::Settings& settings() const { return settings_; }
