A controller wakes when something is due, not eighty times a report interval

Each module now says when it has something to do by the clock alone, the state service's budgets included; the ends of a sleep are the old tick and a quarter of report_s.

The deleting of machines looks at all of them every twentieth of report_s, not at each turn.

--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -1,6 +1,7 @@
 // What all parts of the core share: the clock reading, the settings, the way out.
 #pragma once
 #include <functional>
+#include <limits>
 #include <map>
 #include <random>
 #include <string>
@@ -28,11 +29,20 @@
     return tokens_ / std::max(1.0, rate_);
   }
   void take(double amount) { tokens_ -= amount; }
+  /// When `level` will be above `floor`, if nothing is taken until then.
+  double above_at(double floor, double now) {
+    const double missing = floor * std::max(1.0, rate_) - level(now) * std::max(1.0, rate_);
+    return missing < 0 ? now : now + missing / std::max(kSlowest, rate_);
+  }
 
  private:
+  static constexpr double kSlowest = 1e-3;  // a rate of nothing gives a late time, not a division by zero
   double rate_ = 1, tokens_ = 1, last_ = 0;
 };
 
+/// Of a module that waits for nothing but commands.
+constexpr double kNoDueTime = std::numeric_limits<double>::infinity();
+
 class Context {
  public:
   using Handler = std::function<void(CallDone&&)>;
--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -1,5 +1,7 @@
 #include "coordination/core.h"
 
+#include <algorithm>
+
 #include "coordination/version.h"
 
 namespace rushtrestle::coordination {
@@ -103,4 +105,13 @@
   return std::exchange(ctx_.out, {});
 }
 
+// With a tick every eightieth of report_s, two turns in five had nothing to do, and a turn costs as much as a message.
+double Core::next_wakeup() {
+  const double shortest = ctx_.settings.report_s / 80;
+  const double longest = ctx_.settings.report_s / 4;
+  const double due =
+      std::min({members_.next_due(), users_.next_due(), owner_.next_due(), leader_.next_due(), link_.next_due()});
+  return ctx_.now + std::clamp(due - ctx_.now, shortest, longest);
+}
+
 }  // namespace rushtrestle::coordination
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -18,8 +18,9 @@
 
   /// Works off a batch of commands; the effects are to be carried out in order.
   std::vector<Effect> handle(std::deque<Command>& commands, const Clock& clock);
-  /// How long until `handle` wants to be called again with a Tick.
-  double tick_every() const { return ctx_.settings.report_s / 80; }
+  /// Steady time at which `handle` wants to be called again with a Tick, if no other command comes before. To be asked
+  /// after each call of `handle`.
+  double next_wakeup();
 
  private:
   void job_changed(const std::string& id) override;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -53,6 +53,18 @@
   }
 }
 
+double Leader::next_due() const {
+  if (!leading_ || link_.in_doubt()) return kNoDueTime;
+  double due = fetching_types_ ? kNoDueTime : next_types_;
+  if (model_.types().empty()) return due;
+  if (!deleting_) due = std::min(due, next_delete_);
+  if (!listing_) due = std::min(due, next_list_);
+  if (listed_once_) due = std::min(due, next_plan_);
+  for (const auto& r : rentals_)
+    if (!r.in_flight) due = std::min(due, r.next_try);
+  return due;
+}
+
 // Opens a record format once all controllers read it: from then on no older one serves. It is never taken back.
 void Leader::record_format() {
   if (recording_format_ || model_.record_format() >= store::kRecordFormat || !members_.all_read(store::kRecordFormat))
@@ -199,7 +211,10 @@
     if ((m.record.phase == MachinePhase::released || m.record.phase == MachinePhase::condemned) && !deleted_.count(id) &&
         ids.size() < kMost)
       ids.push_back(id);
-  if (ids.empty()) return;
+  if (ids.empty()) {
+    next_delete_ = ctx_.now + ctx_.settings.report_s / 20;  // all machines are looked at for it
+    return;
+  }
   deleting_ = true;
   cloud_budget_.take(1);
   ctx_.call(DeleteMachines{ids}, ctx_.settings.lease_s / 3, [this, ids](CallDone&& d) {
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -23,6 +23,8 @@
         consolidator_(ctx, model, members, images) {}
 
   void tick();
+  /// When `tick` has something to do by the clock alone; a time that has passed: as soon as the cloud's budget allows.
+  double next_due() const;
 
  private:
   struct Rental {
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -222,6 +222,14 @@
   for (const auto& [part, stamp] : std::map<int, uint64_t>(held_)) hand_back(part);
 }
 
+double Membership::next_due() const {
+  if (!absent_since_.empty()) return ctx_.now;  // a key to claim: every moment may count
+  double due = kNoDueTime;
+  for (const auto& p : peers_)
+    if (!p.telling) due = std::min(due, p.next_tell);
+  return due;
+}
+
 void Membership::consider(const std::string& key, int home, int distance) {
   const auto* h = model_.holder(key);
   if (h && h->present) {
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -379,6 +379,17 @@
   }
 }
 
+double Owner::next_due() const {
+  double due = next_health_;
+  if (can_act()) {
+    due = std::min(due, next_scan_);
+    if (want_schedule_) due = std::min(due, next_schedule_);
+  }
+  for (const auto& id : touched_)  // those left by `work`: each pauses before its next command
+    if (const auto m = machines_.find(id); m != machines_.end()) due = std::min(due, m->second.next_direct);
+  return due;
+}
+
 void Owner::work() {
   if (want_schedule_ && can_act() && ctx_.now >= next_schedule_) {
     want_schedule_ = false;
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -25,6 +25,8 @@
   void take_report(RequestId request, WorkerReport&& report);
   void take_relayed_report(RequestId request, const WorkerReport& report);
   void tick();
+  /// When `tick` or `work` has something to do by the clock alone; a time that has passed: as soon as can be.
+  double next_due() const;
   /// At the end of a batch: place what waits, command whoever needs it.
   void work();
   /// Machines that reported here lately though another controller holds their part.
--- a/src/coordination/state_link.cpp
+++ b/src/coordination/state_link.cpp
@@ -57,6 +57,29 @@
   flush();
 }
 
+// When the first write that waits may leave by the budgets.
+double StateLink::writes_due() {
+  if (!lease_valid() || txns_in_flight_ >= Tunables::kTxnsInFlight) return kNoDueTime;
+  for (int priority = 0; priority < kPriorities; ++priority) {
+    if (queue_[priority].empty()) continue;
+    const double floor = Tunables::kWriteFloor[priority];
+    return std::max({hold_writes_until_, txn_budget_.above_at(floor, ctx_.now), write_budget_.above_at(floor, ctx_.now)});
+  }
+  return kNoDueTime;
+}
+
+double StateLink::next_due() {
+  double due = kNoDueTime;
+  if (!renewing_) due = std::min(due, next_renew_);
+  if (lease_valid()) due = std::min(due, lease_until_);
+  if (!synced_ && !syncing_) due = std::min(due, next_sync_);
+  if (synced_ && !following_) due = std::min(due, std::max(next_follow_, watch_budget_.above_at(0, ctx_.now)));
+  for (const auto& [at, item] : lookups_due_) due = std::min(due, at);
+  if (!unproven_.empty() && !proving_) due = std::min(due, proof_budget_.above_at(0, ctx_.now));
+  for (const auto& proof : proofs_) due = std::min(due, proof.deadline);
+  return std::min(due, writes_due());
+}
+
 // ---- lease ----
 
 void StateLink::renew() {
--- a/src/coordination/state_link.h
+++ b/src/coordination/state_link.h
@@ -36,6 +36,8 @@
   StateLink(Context& ctx, store::Model& model) : ctx_(ctx), model_(model) {}
 
   void tick();
+  /// When `tick` has something to do by the clock alone; a time that has passed: as soon as the budget allows.
+  double next_due();
   void write(WriteRequest request);
   /// Runs `then(true)` once the model is known to be at least as new as this call.
   void prove(std::function<void(bool)> then);
@@ -80,6 +82,7 @@
   void fail_proofs();
   void settle_proofs();
   void flush();
+  double writes_due();
   void send(std::vector<ItemPtr> items);
   void finished(std::vector<ItemPtr> items, double sent_at, CallDone&& done);
   void look_up(const ItemPtr& item);
--- a/src/coordination/users.cpp
+++ b/src/coordination/users.cpp
@@ -187,6 +187,12 @@
   settle(r, 503);
 }
 
+double Users::next_due() const {
+  double due = kNoDueTime;
+  for (const auto& [r, p] : pending_) due = std::min(due, p.deadline);
+  return due;
+}
+
 void Users::tick() {
   std::vector<RequestId> late;
   for (const auto& [r, p] : pending_)
--- a/src/coordination/users.h
+++ b/src/coordination/users.h
@@ -18,6 +18,8 @@
   void cancel(const CancelJob& c);
   bool healthy() const;
   void tick();
+  /// When `tick` has something to do by the clock alone.
+  double next_due() const;
 
  private:
   enum class Kind { submit, cancel };
--- a/src/transport/node.cpp
+++ b/src/transport/node.cpp
@@ -47,13 +47,20 @@
                                         HttpServer::Limits{share_of(settings, kPeerShare), protocol::kBodyLimit, idle_s},
                                         [this](ExchangeId id, Message&& m) { from_peers(id, std::move(m)); });
   loop_.each_turn([this] { turn(); });
-  schedule_tick();
+  commands_.push_back(Tick{});
+  turn();
 }
 
-void Node::schedule_tick() {
-  loop_.after(core_.tick_every(), [this] {
+void Node::arm_wakeup() {
+  const double at = core_.next_wakeup();
+  if (wakeup_ != 0) {
+    if (wakeup_at_ <= at) return;  // early is as good, and the timer stays as it is
+    loop_.cancel(wakeup_);
+  }
+  wakeup_at_ = at;
+  wakeup_ = loop_.after(at - loop_.now(), [this] {
+    wakeup_ = 0;
     commands_.push_back(Tick{});
-    schedule_tick();
   });
 }
 
@@ -83,6 +90,7 @@
   if (commands_.empty()) return;
   const auto wall = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
   for (auto& effect : core_.handle(commands_, Clock{loop_.now(), wall})) carry_out(std::move(effect));
+  arm_wakeup();
 }
 
 void Node::carry_out(Effect&& effect) {
--- a/src/transport/node.h
+++ b/src/transport/node.h
@@ -24,7 +24,7 @@
   void carry_out(coordination::Effect&& effect);
   void call(const coordination::Call& c);
   void answer(HttpServer& server, ExchangeId id, const protocol::HttpAnswer& a);
-  void schedule_tick();
+  void arm_wakeup();
 
   Loop& loop_;
   coordination::Core core_;
@@ -32,6 +32,8 @@
   HttpClient client_;
   std::unique_ptr<HttpServer> users_, peers_;
   std::deque<coordination::Command> commands_;
+  Loop::TimerId wakeup_ = 0;  // 0: not armed
+  double wakeup_at_ = 0;
 };
 
 }  // namespace rushtrestle::transport
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -124,6 +124,22 @@
   EXPECT_TRUE(w.broken.empty()) << first(w);
 }
 
+// A tick every eightieth of report_s, forty a second here, was two turns in five of a busy controller, and a turn costs
+// as much as a message.
+TEST(Scale, AControllerWithNothingToDoWakesSeldom) {
+  World::Options options;
+  options.nodes = 5;
+  options.teams = teams(5);
+  World w(options);
+  w.run_until(30);
+  const size_t before = w.work().turns;
+  constexpr double kSeconds = 30;
+  w.run_until(30 + kSeconds);
+  // Messages with four peers, one a second each way, and their answers; renewals, a watch, health and plans.
+  constexpr double kMostPerSecond = 25;
+  EXPECT_LE(static_cast<double>(w.work().turns - before), kMostPerSecond * kSeconds * options.nodes);
+}
+
 // All that stood in line at the start counted as arrivals of three boot times: spare room for a third of it
 // again was rented, and kept for as long.
 TEST(Scale, WhatStoodInLineAtTheStartIsNotExpectedAgain) {
--- a/tests/simulated_controller.cpp
+++ b/tests/simulated_controller.cpp
@@ -20,6 +20,7 @@
   std::vector<Effect> handle(std::deque<Command>& commands, const Clock& clock) override {
     return core_.handle(commands, clock);
   }
+  std::optional<double> next_wakeup() override { return core_.next_wakeup(); }
 
  private:
   coordination::Core core_;
--- a/tests/simulated_controller.h
+++ b/tests/simulated_controller.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
   virtual ~SimulatedController() = default;
   virtual std::vector<coordination::Effect> handle(std::deque<coordination::Command>& commands,
                                                    const coordination::Clock& clock) = 0;
+  /// Steady time of the next tick, asked after `handle`; none: this version is ticked all the time.
+  virtual std::optional<double> next_wakeup() { return std::nullopt; }
 };
 
 struct ControllerStart {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -74,16 +74,17 @@
                                               options_.trace ? LogLine::Level::info : LogLine::Level::error});
   node.commands.clear();
   node.alive = true;
-  schedule_tick(n, node.generation);
+  schedule_tick(n, settings_.report_s / 80);
 }
 
-void World::schedule_tick(int n, int generation) {
-  at(now_ + settings_.report_s / 80, [this, n, generation] {
+void World::schedule_tick(int n, double after_s) {
+  Node& waiting = nodes_[static_cast<size_t>(n)];
+  const uint64_t serial = ++waiting.tick_serial;
+  at(now_ + after_s, [this, n, serial, generation = waiting.generation] {
     Node& node = nodes_[static_cast<size_t>(n)];
-    if (!node.alive || node.generation != generation) return;
+    if (!node.alive || node.generation != generation || node.tick_serial != serial) return;
     node.commands.push_back(Tick{});
     process(n);
-    schedule_tick(n, generation);
   });
 }
 
@@ -101,9 +102,17 @@
 
 void World::process(int n) {
   Node& node = nodes_[static_cast<size_t>(n)];
-  if (!node.alive || now_ < node.frozen_until) return;  // the next tick after it takes up what has come
+  if (!node.alive) return;
+  if (now_ < node.frozen_until) {  // a tick after it takes up what has come
+    schedule_tick(n, node.frozen_until - now_);
+    return;
+  }
+  ++work_.turns;
   const int generation = node.generation;
-  auto effects = node.core->handle(node.commands, Clock{now_ * node.drift + 1000, now_ + 1e9 + node.wall_offset});
+  const double steady = now_ * node.drift + 1000;
+  auto effects = node.core->handle(node.commands, Clock{steady, now_ + 1e9 + node.wall_offset});
+  const auto wakeup = node.core->next_wakeup();
+  schedule_tick(n, wakeup ? (*wakeup - steady) / node.drift : settings_.report_s / 80);
   for (auto& e : effects) {
     if (nodes_[static_cast<size_t>(n)].generation != generation) return;
     carry_out(n, std::move(e));
--- a/tests/world.h
+++ b/tests/world.h
@@ -122,6 +122,7 @@
   struct Work {
     size_t cloud_calls = 0, state_requests = 0, writes = 0, worker_messages = 0;  // the last: sent to workers
     size_t peer_messages = 0, machines_named_to_peers = 0;
+    size_t turns = 0;  // of controllers: batches of commands worked off
   };
   const Work& work() const { return work_; }
   const store::Settings& settings() const { return settings_; }
@@ -140,6 +141,7 @@
     std::deque<Command> commands;
     bool alive = false, scheduled = false;
     int generation = 0;
+    uint64_t tick_serial = 0;  // of the tick that counts
     double wall_offset = 0, drift = 1, frozen_until = 0;
   };
   struct Entry {
@@ -188,7 +190,7 @@
     bool hold;
   };
 
-  void schedule_tick(int n, int generation);
+  void schedule_tick(int n, double after_s);
   void start_node(int n);
   void deliver(int n, Command c);
   void process(int n);
