With little processor time: renewals and replies first, small turns, late polls told at once

Now - sockets with replies to our own requests are served first, and 32 requests a turn at the most; - effects leave in the order of urgency: renewals, workers, the rest; 16 machines are commanded a batch; - the next renewal counts from the sending of the last, not from the reading of its answer; - the clock is read after the commands, so that no report can be younger than the reading it is judged by; - the lag is measured; plans and scans come later the larger it is, up to ten times their period; - a poll whose answer would come after its user has given up is refused at once; - near the limit of memory (0.85) new work is refused; /stats has lag, processor time and memory.

Tried and taken out: not counting a standstill as silence of machines, and no judging while sockets wait unread; no case was found in which that changed anything, as a holder that stands still for so long has lost its lease.

--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -12,9 +12,16 @@
 
 namespace rushtrestle::coordination {
 
+/// What the process knows of itself.
+struct ProcessLoad {
+  double memory_mb = 0;  // in use; 0: unknown
+  double cpu_s = 0;      // processor time used
+};
+
 struct Clock {
   double steady = 0;  // seconds, from anywhere
   double wall = 0;    // seconds, time of day
+  ProcessLoad load = {};
 };
 
 /// Lets `rate` through per second, with a second's worth at once; may be overdrawn by one use.
@@ -55,6 +62,8 @@
   const std::string incarnation;
   std::mt19937_64 rng;
   double now = 0, wall = 0;
+  ProcessLoad load;
+  double lag = 0;  // seconds by which batches are late; what it was falls to half in each report interval
   std::vector<Effect> out;
   std::map<std::string, uint64_t> counters;
   LogLine::Level log_level = LogLine::Level::info;
@@ -68,6 +77,12 @@
     auto node = handlers_.extract(done.call);
     if (!node.empty()) node.mapped()(std::move(done));
   }
+  /// Period of work that can wait: longer while batches are late, but never without an end.
+  double housekeeping_every(double period_s) const {
+    constexpr double kLongerByLag = 8;
+    constexpr double kLongestTimes = 10;
+    return std::min(period_s + kLongerByLag * lag, period_s * kLongestTimes);
+  }
   double jitter(double seconds) { return seconds * std::uniform_real_distribution<>(0.75, 1.25)(rng); }
   bool logs(LogLine::Level level) const { return level <= log_level; }
   void log(LogLine::Level level, std::string text) {
--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -1,6 +1,7 @@
 #include "coordination/core.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "coordination/version.h"
 
@@ -58,6 +59,7 @@
                    {"version", program_version()},
                    {"record_format", model_.record_format()},
                    {"controllers", members_.versions()}};
+  j["process"] = {{"lag_s", ctx_.lag}, {"cpu_s", ctx_.load.cpu_s}, {"memory_mb", ctx_.load.memory_mb}};
   j["known_jobs"] = model_.jobs().size();
   j["owner"] = owner_.stats();
   j["counters"] = ctx_.counters;
@@ -88,9 +90,18 @@
   std::visit(Taker{*this}, std::move(command));
 }
 
+// A process that stood still, or gets too little processor time, comes late to what was due.
+void Core::measure_lag() {
+  const double late = wakeup_at_ > 0 ? std::max(0.0, ctx_.now - wakeup_at_) : 0;
+  ctx_.lag = std::max(late, ctx_.lag * std::exp2((handled_at_ - ctx_.now) / ctx_.settings.report_s));
+  handled_at_ = ctx_.now;
+}
+
 std::vector<Effect> Core::handle(std::deque<Command>& commands, const Clock& clock) {
   ctx_.now = clock.steady;
   ctx_.wall = clock.wall;
+  ctx_.load = clock.load;
+  measure_lag();
   while (!commands.empty()) {
     Command c = std::move(commands.front());
     commands.pop_front();
@@ -108,10 +119,10 @@
 // With a tick every eightieth of report_s, two turns in five had nothing to do, and a turn costs as much as a message.
 double Core::next_wakeup() {
   const double shortest = ctx_.settings.report_s / 80;
-  const double longest = ctx_.settings.report_s / 4;
   const double due =
       std::min({members_.next_due(), users_.next_due(), owner_.next_due(), leader_.next_due(), link_.next_due()});
-  return ctx_.now + std::clamp(due - ctx_.now, shortest, longest);
+  wakeup_at_ = ctx_.now + std::clamp(due - ctx_.now, shortest, longest_sleep());
+  return wakeup_at_;
 }
 
 }  // namespace rushtrestle::coordination
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -29,6 +29,9 @@
   PeerState own_state() const;
   store::Json stats();
   void take(Command&& command);
+  void measure_lag();
+
+  double longest_sleep() const { return ctx_.settings.report_s / 4; }
 
   Context ctx_;
   store::Model model_;
@@ -39,6 +42,8 @@
   Owner owner_;
   Leader leader_;
   Users users_;
+  double wakeup_at_ = 0;  // 0: not asked for yet
+  double handled_at_ = 0;
 };
 
 }  // namespace rushtrestle::coordination
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -48,7 +48,7 @@
     if (!r.in_flight && ctx_.now >= r.next_try && cloud_ready()) send_rental(r);
   if (!listing_ && ctx_.now >= next_list_ && cloud_ready()) list("");
   if (listed_once_ && ctx_.now >= next_plan_) {
-    next_plan_ = ctx_.now + ctx_.settings.report_s / 4;
+    next_plan_ = ctx_.now + ctx_.housekeeping_every(ctx_.settings.report_s / 4);
     plan();
   }
 }
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -384,7 +384,7 @@
     want_schedule_ = true;
   }
   if (ctx_.now >= next_scan_ && can_act()) {
-    next_scan_ = ctx_.now + ctx_.operators.scan_period_s;
+    next_scan_ = ctx_.now + ctx_.housekeeping_every(ctx_.operators.scan_period_s);
     for (const int part : parts_) scan(part);
   }
 }
@@ -395,7 +395,7 @@
     due = std::min(due, next_scan_);
     if (want_schedule_) due = std::min(due, next_schedule_);
   }
-  for (const auto& id : touched_)  // those left by `work`: each pauses before its next command
+  for (const auto& id : touched_)  // those left by `work`: for the next batch, or with a pause before the next command
     if (const auto m = machines_.find(id); m != machines_.end()) due = std::min(due, m->second.next_direct);
   return due;
 }
@@ -408,14 +408,28 @@
       if (members_.held(part) != 0) schedule(part);
     for (const auto& id : std::exchange(bereft_, {})) mark(id, 1);
   }
-  auto touched = std::move(touched_);
-  touched_.clear();
-  for (const auto& id : touched)
-    if (Machine* m = machine(id)) {
-      direct(*m);
-      // Still something to do later: a pause is over, or an answer outstanding.
-      if (m->wanted && !m->in_flight && ctx_.now < m->next_direct) touched_.insert(id);
-    }
+  command_touched();
+}
+
+// In turn by id, a bounded number in a batch: with little processor time the commands to all machines of a part that was
+// just taken over took seconds, in which no renewal of the lease left, and the part was lost again.
+void Owner::command_touched() {
+  constexpr size_t kMostInABatch = 16;
+  std::vector<std::string> ids;
+  auto next = touched_.upper_bound(last_commanded_);
+  for (size_t left = std::min(kMostInABatch, touched_.size()); left > 0; --left) {
+    if (next == touched_.end()) next = touched_.begin();
+    ids.push_back(*next++);
+  }
+  for (const auto& id : ids) {
+    last_commanded_ = id;
+    touched_.erase(id);
+    Machine* m = machine(id);
+    if (!m) continue;
+    direct(*m);
+    // Still something to do later: a pause is over, or an answer outstanding.
+    if (m->wanted && !m->in_flight && ctx_.now < m->next_direct) touched_.insert(id);
+  }
 }
 
 store::Json Owner::stats() {
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -126,6 +126,7 @@
   void tell_first_run(OwnedJob& j);
   void task_ended(Machine& m, OwnedJob& j, const ReportedTask& t);
   void direct(Machine& m);
+  void command_touched();
   void check_health(Machine& m);
   bool reports(const Machine& m) const { return ctx_.now - m.last_report <= ctx_.tune.probe_after_s; }
   void count_silent();
@@ -187,6 +188,7 @@
   std::unordered_map<std::string, double> heard_;
   std::unordered_map<std::string, double> relaying_since_;  // by machine
   std::set<std::string> touched_;                           // machines to command at the end of the batch
+  std::string last_commanded_;                              // of them; the next ones follow it by id
   bool want_schedule_ = false;
   std::vector<double> condemned_at_;  // for silence, of late
   double next_schedule_ = 0, next_scan_ = 0, next_health_ = 0;
--- a/src/coordination/state_link.cpp
+++ b/src/coordination/state_link.cpp
@@ -96,9 +96,10 @@
       }
       succeeded(sent);
       lease_ = reply->lease;
-      // Counted from the sending, less the drift between two machines' clocks.
+      // Counted from the sending, less the drift between two machines' clocks. The next one, too: with little processor
+      // time an answer is read late, and a lease renewed so long after that would have lapsed.
       lease_until_ = sent + ctx_.tune.state_lease_s * 0.998;
-      next_renew_ = ctx_.now + ctx_.tune.renew_every_s;
+      next_renew_ = sent + ctx_.tune.renew_every_s;
     });
     return;
   }
@@ -107,7 +108,7 @@
     if (d.status == 200) {
       succeeded(sent);
       lease_until_ = sent + ctx_.tune.state_lease_s * 0.998;
-      next_renew_ = ctx_.now + ctx_.tune.renew_every_s;
+      next_renew_ = sent + ctx_.tune.renew_every_s;
     } else if (d.status == 404) {
       succeeded(sent);
       ctx_.info("our lease at the state service is gone");
--- a/src/coordination/tunables.h
+++ b/src/coordination/tunables.h
@@ -23,7 +23,8 @@
         relay_s(s.lease_s * 2),
         relay_limit_s(s.lease_s * 4),
         user_wait_s(4.0),
-        poll_wait_s(1.5) {}
+        poll_wait_s(1.5),
+        shed_polls_lag_s(poll_wait_s / 2) {}
 
   // Grants survive two lost renewals; a dead controller's parts are free after a quarter of a worker lease.
   double state_lease_s, renew_every_s;
@@ -41,6 +42,9 @@
   double relay_s, relay_limit_s;
   double user_wait_s;  // the protocol gives a submission 5 s
   double poll_wait_s;  // and a poll 2 s
+  // A poll has waited about so long when it is read, and its answer takes as long again: from here on it would come after
+  // its user has given up.
+  double shed_polls_lag_s;
 
   // Shares of a node's part of state.rps.
   static constexpr double kBudget = 0.9, kWatchShare = 0.35, kProofShare = 0.25, kTxnShare = 0.4;
--- a/src/coordination/users.cpp
+++ b/src/coordination/users.cpp
@@ -32,6 +32,12 @@
   return true;
 }
 
+// A process over its limit is killed, and with it all that it was about to do.
+bool Users::near_memory_limit() const {
+  constexpr double kNear = 0.85;
+  return ctx_.load.memory_mb > ctx_.settings.memory_mb * kNear;
+}
+
 bool Users::healthy() const {
   if (!link_.synced()) return false;
   // In an outage of all, answers (final states, refusals) are as good from here as from elsewhere.
@@ -71,6 +77,10 @@
     });
     return;
   }
+  if (near_memory_limit()) {
+    ctx_.counters["submissions_shed_for_memory"]++;
+    return refuse(s.request, ctx_.settings.lease_s);
+  }
   const double delay = link_.accept_delay();
   if (delay > ctx_.tune.user_wait_s / 2) return refuse(s.request, delay);
   pending_[s.request] = {Kind::submit, id, std::move(s.spec), ctx_.now + ctx_.tune.user_wait_s};
@@ -116,6 +126,11 @@
 void Users::query(const QueryJob& q) {
   ctx_.counters["polls"]++;
   if (answer_if_final(q.request, q.id)) return;
+  // Told at once, as the answer would come too late. Not sooner: a job that nothing can be learnt of is forgotten.
+  if (ctx_.lag > ctx_.tune.shed_polls_lag_s) {
+    ctx_.counters["polls_shed"]++;
+    return refuse(q.request, 1 + ctx_.lag);
+  }
   link_.prove([this, r = q.request, id = q.id](bool ok) {
     if (!ok) return refuse(r, 1);
     model_.job(id) ? answer(r, 200, id) : answer(r, 404);
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -164,7 +164,7 @@
   if (listener_ < 0 || bind(listener_, reinterpret_cast<const sockaddr*>(&sa), sizeof sa) != 0 ||
       listen(listener_, 256) != 0)
     throw std::runtime_error("cannot listen");
-  loop_.watch(listener_, EPOLLIN, [this](uint32_t) { accept_all(); });
+  loop_.watch(listener_, EPOLLIN, Loop::Priority::request, [this](uint32_t) { accept_all(); });
   sweep();
 }
 
@@ -209,7 +209,7 @@
     c->last_used = loop_.now();
     c->age = by_age_.insert(by_age_.end(), fd);
     connections_[fd] = std::move(c);
-    loop_.watch(fd, EPOLLIN, [this, fd](uint32_t ev) { on_event(fd, ev); });
+    loop_.watch(fd, EPOLLIN, Loop::Priority::request, [this, fd](uint32_t ev) { on_event(fd, ev); });
   }
 }
 
@@ -329,7 +329,7 @@
   c->writing = true;
   Connection* raw = c.get();
   connections_[fd] = std::move(c);
-  loop_.watch(fd, EPOLLIN | EPOLLOUT, [this, fd](uint32_t ev) { on_event(fd, ev); });
+  loop_.watch(fd, EPOLLIN | EPOLLOUT, Loop::Priority::reply, [this, fd](uint32_t ev) { on_event(fd, ev); });
   return raw;
 }
 
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -24,8 +24,8 @@
   now_ = static_cast<double>(ts.tv_sec) + static_cast<double>(ts.tv_nsec) * 1e-9;
 }
 
-void Loop::watch(int fd, uint32_t events, FdHandler handler) {
-  fds_[fd] = Watched{++generation_, std::move(handler)};
+void Loop::watch(int fd, uint32_t events, Priority priority, FdHandler handler) {
+  fds_[fd] = Watched{++generation_, priority, std::move(handler)};
   epoll_event ev{};
   ev.events = events;
   ev.data.u64 = (static_cast<uint64_t>(generation_) << 32) | static_cast<uint32_t>(fd);
@@ -60,8 +60,35 @@
   due_.erase(it);
 }
 
+// An event of a socket that was closed in this turn, or of an earlier one with the same number, is passed over.
+void Loop::serve(epoll_event* events, size_t count) {
+  const auto watched = [this](const epoll_event& event) -> Watched* {
+    const auto it = fds_.find(static_cast<int>(event.data.u64 & 0xffffffffU));
+    return it == fds_.end() || it->second.generation != event.data.u64 >> 32 ? nullptr : &it->second;
+  };
+  epoll_event* const requests = std::stable_partition(events, events + count, [&](const epoll_event& event) {
+    const Watched* w = watched(event);
+    return w && w->priority == Priority::reply;
+  });
+  epoll_event* const end = std::min(events + count, requests + kMostRequests);
+  for (const epoll_event* event = events; event != end; ++event) {
+    const Watched* w = watched(*event);
+    if (!w) continue;
+    const auto handler = w->handler;  // a copy: the handler may unwatch itself
+    handler(event->events);
+  }
+}
+
+void Loop::run_due_timers() {
+  while (!timers_.empty() && timers_.begin()->first.first <= now_) {
+    auto node = timers_.extract(timers_.begin());
+    due_.erase(node.key().second);
+    node.mapped()();
+  }
+}
+
 void Loop::run() {
-  std::array<epoll_event, 128> events{};
+  std::array<epoll_event, kMostEvents> events{};
   while (running_) {
     int wait_ms = -1;
     if (!timers_.empty()) {
@@ -70,18 +97,8 @@
     }
     const int n = epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), wait_ms);
     refresh_clock();
-    for (int i = 0; i < n; ++i) {
-      const int fd = static_cast<int>(events[i].data.u64 & 0xffffffffU);
-      auto it = fds_.find(fd);
-      if (it == fds_.end() || it->second.generation != events[i].data.u64 >> 32) continue;
-      auto handler = it->second.handler;  // a copy: the handler may unwatch itself
-      handler(events[i].events);
-    }
-    while (!timers_.empty() && timers_.begin()->first.first <= now_) {
-      auto node = timers_.extract(timers_.begin());
-      due_.erase(node.key().second);
-      node.mapped()();
-    }
+    serve(events.data(), static_cast<size_t>(std::max(0, n)));
+    run_due_timers();
     if (turn_) turn_();
   }
 }
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -5,6 +5,8 @@
 #include <map>
 #include <unordered_map>
 
+struct epoll_event;
+
 namespace rushtrestle::transport {
 
 class Loop {
@@ -17,7 +19,12 @@
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
 
-  void watch(int fd, uint32_t events, FdHandler handler);
+  /// Which sockets are served first when many are ready.
+  enum class Priority {
+    reply,   // answers to our own requests: renewals of the lease among them
+    request  // what others want of us
+  };
+  void watch(int fd, uint32_t events, Priority priority, FdHandler handler);
   void change(int fd, uint32_t events);
   void unwatch(int fd);
 
@@ -30,10 +37,17 @@
 
   void run();
   void stop() { running_ = false; }
+  /// As of the last reading: each time that sockets were waited for, and each `refresh_clock`.
   double now() const { return now_; }
+  void refresh_clock();
 
  private:
-  void refresh_clock();
+  /// Sockets asked for and requests served in a turn. With little processor time a long turn keeps renewals of the lease
+  /// waiting, and who lost it loses its parts: what is left is served in the next turn.
+  static constexpr size_t kMostEvents = 256;
+  static constexpr size_t kMostRequests = 32;
+  void serve(epoll_event* events, size_t count);
+  void run_due_timers();
 
   int epoll_ = -1;
   bool running_ = true;
@@ -45,6 +59,7 @@
   // an event of a closed socket from one of a new socket with the same number.
   struct Watched {
     uint32_t generation = 0;
+    Priority priority = Priority::request;
     std::function<void(uint32_t)> handler;
   };
   std::unordered_map<int, Watched> fds_;
--- a/src/transport/node.cpp
+++ b/src/transport/node.cpp
@@ -1,8 +1,11 @@
 #include "transport/node.h"
 
+#include <malloc.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <chrono>
+#include <ctime>
 #include <random>
 
 namespace rushtrestle::transport {
@@ -23,6 +26,31 @@
   return static_cast<size_t>(std::max(4.0, s.max_connections * share));
 }
 
+double process_cpu_s() {
+  timespec used{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+  return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * 1e-9;
+}
+
+/// What is allocated now, without what the allocator keeps for later.
+double allocated_mb() {
+  const auto info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd) / (1024.0 * 1024.0);
+}
+
+/// The order in which the effects of one batch leave. With little processor time the last leave late, and a renewal
+/// that did lost the lease, all parts, and the answers to all their workers.
+enum class Urgency { renewal, worker, other };
+Urgency urgency(const Effect& effect) {
+  if (std::holds_alternative<AnswerReport>(effect) || std::holds_alternative<AnswerRelayedReport>(effect))
+    return Urgency::worker;
+  const auto* call = std::get_if<Call>(&effect);
+  if (!call) return Urgency::other;
+  if (std::holds_alternative<GrantLease>(call->body) || std::holds_alternative<ExtendLease>(call->body))
+    return Urgency::renewal;
+  return std::holds_alternative<CommandWorker>(call->body) ? Urgency::worker : Urgency::other;
+}
+
 // A whole page of the state service or of the cloud's list, with room to spare.
 size_t reply_limit(const store::Settings& s) { return static_cast<size_t>(s.memory_mb * 1024 * 1024 / 14); }
 }  // namespace
@@ -38,7 +66,8 @@
           std::random_device{}(), log_level),
       state_(parse_address(settings.state)),
       cloud_(parse_address(settings.cloud)),
-      client_(loop, share_of(settings, kClientShare), reply_limit(settings)) {
+      client_(loop, share_of(settings, kClientShare), reply_limit(settings)),
+      load_every_s_(settings.report_s) {
   const double idle_s = settings.lease_s * 8;
   users_ = std::make_unique<HttpServer>(loop, parse_address(settings.listen),
                                         HttpServer::Limits{share_of(settings, kServerShare), protocol::kBodyLimit, idle_s},
@@ -51,6 +80,15 @@
   turn();
 }
 
+const ProcessLoad& Node::process_load() {
+  if (loop_.now() >= next_load_reading_) {
+    next_load_reading_ = loop_.now() + load_every_s_;
+    load_.memory_mb = allocated_mb();
+    load_.cpu_s = process_cpu_s();
+  }
+  return load_;
+}
+
 void Node::arm_wakeup() {
   const double at = core_.next_wakeup();
   if (wakeup_ != 0) {
@@ -88,8 +126,13 @@
 
 void Node::turn() {
   if (commands_.empty()) return;
+  // Read after the commands, not before: the time that a worker is answered counts from a report that was sent before
+  // this reading, however long it took to read and decode what has come.
+  loop_.refresh_clock();
   const auto wall = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
-  for (auto& effect : core_.handle(commands_, Clock{loop_.now(), wall})) carry_out(std::move(effect));
+  auto effects = core_.handle(commands_, Clock{loop_.now(), wall, process_load()});
+  std::stable_sort(effects.begin(), effects.end(), [](const Effect& a, const Effect& b) { return urgency(a) < urgency(b); });
+  for (auto& effect : effects) carry_out(std::move(effect));
   arm_wakeup();
 }
 
--- a/src/transport/node.h
+++ b/src/transport/node.h
@@ -25,6 +25,7 @@
   void call(const coordination::Call& c);
   void answer(HttpServer& server, ExchangeId id, const protocol::HttpAnswer& a);
   void arm_wakeup();
+  const coordination::ProcessLoad& process_load();
 
   Loop& loop_;
   coordination::Core core_;
@@ -34,6 +35,9 @@
   std::deque<coordination::Command> commands_;
   Loop::TimerId wakeup_ = 0;  // 0: not armed
   double wakeup_at_ = 0;
+  coordination::ProcessLoad load_;
+  double next_load_reading_ = 0;
+  double load_every_s_;
 };
 
 }  // namespace rushtrestle::transport
--- a/tests/troubles.cpp
+++ b/tests/troubles.cpp
@@ -11,7 +11,7 @@
       [](int at, int kind, size_t which, int for_s, bool flag) {
         return Trouble{static_cast<double>(at), kind, which, static_cast<double>(for_s), flag};
       },
-      rc::gen::inRange(20, 110), rc::gen::inRange(0, 27), rc::gen::inRange<size_t>(0, 12), rc::gen::inRange(3, 45),
+      rc::gen::inRange(20, 110), rc::gen::inRange(0, 30), rc::gen::inRange<size_t>(0, 12), rc::gen::inRange(3, 45),
       rc::gen::arbitrary<bool>());
 }
 
@@ -58,6 +58,11 @@
     case 25:  // leaders change again and again
       for (int k = 0; k < 6; ++k) w.at(w.now() + 4 * k, [&w, k] { w.kill_node(k % 3, k % 2 ? 0.2 : 3); });
       break;
+    case 26: w.starve_node(n, t.for_s, t.flag ? 0.3 : 1.5); break;
+    case 27:
+      for (int i = 0; i < 3; ++i) w.starve_node(i, t.for_s, t.flag ? 0.2 : 0.8);
+      break;
+    case 28: w.starve_node(n, 0.1, t.for_s); break;  // one pause of any length between a decision and its sending
     default: w.delay_report_copies(t.for_s, t.for_s); break;
   }
 }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -110,13 +110,31 @@
   ++work_.turns;
   const int generation = node.generation;
   const double steady = now_ * node.drift + 1000;
-  auto effects = node.core->handle(node.commands, Clock{steady, now_ + 1e9 + node.wall_offset});
+  const bool starved = now_ < node.starved_until;
+  constexpr size_t kStarvedBatch = 12;
+  if (starved) {  // sockets are not read in the order in which something came to them; those with replies come first
+    std::shuffle(node.commands.begin(), node.commands.end(), rng_);
+    std::stable_partition(node.commands.begin(), node.commands.end(),
+                          [](const Command& c) { return std::holds_alternative<CallDone>(c); });
+  }
+  std::deque<Command> batch;
+  while (!node.commands.empty() && (!starved || batch.size() < kStarvedBatch)) {
+    batch.push_back(std::move(node.commands.front()));
+    node.commands.pop_front();
+  }
+  auto effects =
+      node.core->handle(batch, Clock{steady, now_ + 1e9 + node.wall_offset, ProcessLoad{options_.memory_in_use_mb}});
   const auto wakeup = node.core->next_wakeup();
   schedule_tick(n, wakeup ? (*wakeup - steady) / node.drift : settings_.report_s / 80);
-  for (auto& e : effects) {
-    if (nodes_[static_cast<size_t>(n)].generation != generation) return;
-    carry_out(n, std::move(e));
-  }
+  const auto carry_out_all = [this, n, generation](std::vector<Effect>& all) {
+    for (auto& e : all) {
+      if (nodes_[static_cast<size_t>(n)].generation != generation) return;
+      carry_out(n, std::move(e));
+    }
+  };
+  if (!starved) return carry_out_all(effects);
+  node.frozen_until = now_ + node.batch_s;
+  at(node.frozen_until, [carry_out_all, effects = std::move(effects)]() mutable { carry_out_all(effects); });
 }
 
 void World::kill_node(int n, double back_after_s) {
@@ -124,6 +142,7 @@
   if (!node.alive) return;
   node.alive = false;
   node.frozen_until = 0;
+  node.starved_until = 0;
   ++node.generation;
   node.core.reset();
   node.scheduled = false;
@@ -140,6 +159,7 @@
 void World::carry_out(int n, Effect&& e) {
   const std::string& name = nodes_[static_cast<size_t>(n)].name;
   if (auto* a = std::get_if<AnswerUser>(&e)) {
+    if (a->status == 503) ++work_.refusals;
     auto w = user_waiting_.extract(a->request);
     if (!w.empty()) send(name, "users", [then = w.mapped().then, answer = *a] { then(answer); });
   } else if (auto* r = std::get_if<AnswerReport>(&e)) {
@@ -249,6 +269,12 @@
 
 void World::freeze_node(int n, double for_s) { nodes_[static_cast<size_t>(n)].frozen_until = now_ + for_s; }
 
+void World::starve_node(int n, double for_s, double batch_s) {
+  Node& node = nodes_[static_cast<size_t>(n)];
+  node.starved_until = now_ + for_s;
+  node.batch_s = batch_s;
+}
+
 void World::cut_node(int n, double for_s, bool hold) { cut(node_name(n), "*", for_s, hold); }
 
 void World::perform(int n, int generation, Call&& c) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -45,6 +45,7 @@
     // Nodes whose words to the others are those of the version before: fields that it does not know are neither
     // sent nor understood.
     std::set<int> words_of_before;
+    double memory_in_use_mb = 0;  // by each controller, of 56
   };
   explicit World(Options options);
 
@@ -87,6 +88,9 @@
   void cut_workers(int n, double for_s, bool hold);  // all that are up, from this node alone
   // A node stands still while its clocks run on; what has come to it waits.
   void freeze_node(int n, double for_s);
+  // A node gets so little processor time that each batch of a few commands takes so long: the others wait unread, and
+  // what it decides leaves at the end of that.
+  void starve_node(int n, double for_s, double batch_s);
   void slow_links(double for_s, double delay_s);  // between all
   // From everything outside, state service, cloud and users included; inside, all goes on.
   void cut_zone(const std::string& zone, const std::set<int>& nodes_inside, double for_s, bool hold);
@@ -122,7 +126,8 @@
   struct Work {
     size_t cloud_calls = 0, state_requests = 0, writes = 0, worker_messages = 0;  // the last: sent to workers
     size_t peer_messages = 0, machines_named_to_peers = 0;
-    size_t turns = 0;  // of controllers: batches of commands worked off
+    size_t refusals = 0;  // of users, with a time to come back
+    size_t turns = 0;     // of controllers: batches of commands worked off
   };
   const Work& work() const { return work_; }
   const store::Settings& settings() const { return settings_; }
@@ -143,6 +148,7 @@
     int generation = 0;
     uint64_t tick_serial = 0;  // of the tick that counts
     double wall_offset = 0, drift = 1, frozen_until = 0;
+    double starved_until = 0, batch_s = 0;
   };
   struct Entry {
     Json value;
