Names of the field: write priorities, placement classes, jobs that lost tasks; no change of behaviour

Priorities of writes were numbers from 0 to 3 with 99 for none; they are an enum and an optional. bereft, touched, tell_first_run, note_pending, shape and hopeless have names that say what they are. A time before all others has one name.

--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -47,6 +47,9 @@
   double rate_ = 1, tokens_ = 1, last_ = 0;
 };
 
+/// A steady time before any that is told.
+constexpr double kLongAgo = -1e9;
+
 /// Of a module that waits for nothing but commands.
 constexpr double kNoDueTime = std::numeric_limits<double>::infinity();
 
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -251,7 +251,7 @@
   offered_at_[machine] = ctx_.now;
   WriteRequest w;
   w.key = store::machine_key(machine);
-  w.priority = 2;
+  w.priority = WritePriority::end;
   w.prepare = [this, machine, next_part, drain](Prepared& p) {
     const auto* m = model_.machine(machine);
     if (!m || !m->record.usable() || !members_.leading()) return false;
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -59,11 +59,11 @@
     store::PeerSettings settings;
     PeerState state;  // but for the machines that it hears:
     std::unordered_set<std::string> hears;
-    double heard_at = -1e9, steady_since = 0;
+    double heard_at = kLongAgo, steady_since = 0;
     double next_tell = 0;
     bool telling = false;
-    HandoverMark known;           // of its cancellations, here
-    double covered_until = -1e9;  // every cancellation that it told before this time is known here
+    HandoverMark known;               // of its cancellations, here
+    double covered_until = kLongAgo;  // every cancellation that it told before this time is known here
   };
   bool fresh(const Peer& p) const { return ctx_.now - p.heard_at < ctx_.tune.peer_fresh_s; }
   const Peer* peer(const std::string& node) const;
@@ -86,7 +86,7 @@
   std::map<int, uint64_t> held_;  // part -> stamp of its key
   std::set<int> gaining_;         // held, but the model does not cover the key's stamp yet
   uint64_t lead_stamp_ = 0;
-  double former_self_covered_until_ = -1e9;  // what earlier incarnations of this node told
+  double former_self_covered_until_ = kLongAgo;  // what earlier incarnations of this node told
 };
 
 }  // namespace rushtrestle::coordination
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -76,11 +76,11 @@
     } else {
       m->placed.erase({r.spec.id, p.task});
     }
-    touched_.insert(m->id);
+    machines_to_command_.insert(m->id);
   }
 }
 
-void Owner::note_pending(const OwnedJob& j) {
+void Owner::update_pending(const OwnedJob& j) {
   const auto& r = j.cur;
   if (r.status == JobStatus::open && r.done.size() + r.placed.size() < r.spec.tasks) {
     pending_.insert(r.spec.id);
@@ -101,7 +101,7 @@
   if (model_.cancelled(id)) j.cur.status = JobStatus::cancelled;
   if (record.attempts == 0) j.adopted_at = ctx_.now;
   for (const auto& p : j.cur.placed) index(j.cur, p, 1);
-  note_pending(j);
+  update_pending(j);
   drop_gone_placements(id);
   want_schedule_ = true;
 }
@@ -116,7 +116,7 @@
     if (const auto* m = model_.machine(p.machine); m && m->record.phase == MachinePhase::gone) gone.push_back(p.task);
   if (gone.empty()) return;
   for (const uint32_t t : gone) lose_member(*j, t);
-  mark(id, 1);
+  mark(id, WritePriority::placement);
 }
 
 void Owner::drop_job(const std::string& id) {
@@ -136,7 +136,7 @@
   if (model_.cancelled(id)) j->cur.status = JobStatus::cancelled;
   j->written = j->version;
   for (const auto& p : j->cur.placed) index(j->cur, p, 1);
-  note_pending(*j);
+  update_pending(*j);
   drop_gone_placements(id);
   want_schedule_ = true;
 }
@@ -160,8 +160,8 @@
   // Its last task may have ended here meanwhile: what a user was told stands all the same.
   if (model_.cancelled(id) && j->cur.status != JobStatus::cancelled) {
     j->cur.status = JobStatus::cancelled;
-    note_pending(*j);
-    for (const auto& p : j->cur.placed) touched_.insert(p.machine);
+    update_pending(*j);
+    for (const auto& p : j->cur.placed) machines_to_command_.insert(p.machine);
   }
   // What the cancelled record does not place will never be durable, so it was not started. Not so for one that was
   // only heard of: a write of ours without an answer may stand below it.
@@ -203,7 +203,7 @@
     m->wanted = true;
   }
   m->part = durable->record.part;
-  touched_.insert(id);
+  machines_to_command_.insert(id);
   want_schedule_ = true;
 }
 
@@ -214,7 +214,7 @@
   // hundreds of jobs took twice as long to leave when dozens of machines died at once.
   for (const auto& [key, attempt] : tasks) {
     lose_member(*job(key.first), key.second);
-    bereft_.insert(key.first);
+    jobs_that_lost_tasks_.insert(key.first);
   }
   machines_.erase(id);
   images_.forget(id);
@@ -240,7 +240,7 @@
   index(j.cur, *it, -1);
   j.left.insert(it->machine);
   placed.erase(it);
-  note_pending(j);
+  update_pending(j);
   want_schedule_ = true;
 }
 
@@ -252,12 +252,12 @@
   if (!gathering) end_attempt(j.cur);
 }
 
-void Owner::mark(const std::string& id, int priority) {
+void Owner::mark(const std::string& id, WritePriority priority) {
   OwnedJob* j = job(id);
   if (!j) return;
   spread_stop(j->cur);
   ++j->version;
-  if (j->queued_priority <= priority) return;
+  if (j->queued_priority && *j->queued_priority <= priority) return;
   j->queued_priority = priority;
   WriteRequest w;
   w.key = store::job_key(id);
@@ -267,12 +267,12 @@
     const auto* durable = model_.job(id);
     const uint64_t held = owned ? members_.held(owned->part) : 0;
     if (!owned) return false;
-    owned->queued_priority = 99;
+    owned->queued_priority.reset();
     if (!owned->dirty() || !durable || held == 0) return false;
     owned->prepared = owned->version;
     // A final state that is durable is never left, whatever we came to think meanwhile.
     if (durable->record.final_state()) owned->cur.status = durable->record.status;
-    note_pending(*owned);
+    update_pending(*owned);
     p.expected = durable->stamp;
     p.value = to_json(owned->cur);
     if (link_.refuses(*p.value)) return false;  // until enough of its tasks have ended
@@ -294,14 +294,15 @@
     if (outcome == WriteOutcome::applied) {
       owned->written = owned->prepared;
       if (owned->first_written_at == 0 && owned->first_placed_at > 0) owned->first_written_at = ctx_.now;
-      touch_machines_of(*owned);
+      command_machines_of(*owned);
       want_schedule_ |= pending_.count(id) != 0;
-      if (owned->cur.final_state() && owned->cur.placed.empty() && !owned->dirty() && !bereft_.count(id)) drop_job(id);
+      if (owned->cur.final_state() && owned->cur.placed.empty() && !owned->dirty() && !jobs_that_lost_tasks_.count(id))
+        drop_job(id);
     } else if (outcome != WriteOutcome::skipped) {
       if (outcome == WriteOutcome::refused) owned->retry_at = ctx_.now + ctx_.settings.lease_s;
-      touch_machines_of(*owned);
+      command_machines_of(*owned);
       rebase(id);
-      touch_machines_of(*owned);
+      command_machines_of(*owned);
       if (outcome == WriteOutcome::unsettled) settle_by_writing(*owned, stamp);
     }
   };
@@ -312,19 +313,18 @@
 // that were started by the record as it was ran on, while the late write placed them elsewhere. Any write moves the stamp,
 // and only one of the two is carried out; until then nothing is started (start_absent).
 void Owner::settle_by_writing(OwnedJob& j, uint64_t stamp) {
-  constexpr int kPriority = 1;
   j.unsettled_stamp = stamp;
-  mark(j.cur.spec.id, kPriority);
+  mark(j.cur.spec.id, WritePriority::placement);
 }
 
 // What is durable now may be started, stopped or, where tasks have left, forgotten.
-void Owner::touch_machines_of(OwnedJob& j) {
-  for (const auto& p : j.cur.placed) touched_.insert(p.machine);
-  touched_.merge(j.left);
+void Owner::command_machines_of(OwnedJob& j) {
+  for (const auto& p : j.cur.placed) machines_to_command_.insert(p.machine);
+  machines_to_command_.merge(j.left);
   j.left.clear();
 }
 
-void Owner::write_machine(const std::string& id, int priority, std::function<bool(MachineRecord&)> change) {
+void Owner::write_machine(const std::string& id, WritePriority priority, std::function<bool(MachineRecord&)> change) {
   Machine* m = machine(id);
   if (!m || m->writing) return;
   m->writing = true;
@@ -347,7 +347,7 @@
     if (Machine* mine = machine(id)) {
       mine->writing = false;
       mine->condemning = false;
-      touched_.insert(id);
+      machines_to_command_.insert(id);
     }
   };
   link_.write(std::move(w));
@@ -375,7 +375,7 @@
       if (Machine* m = machine(id)) {
         check_health(*m);
         settle_offer(*m);
-        if (m->wanted) touched_.insert(id);
+        if (m->wanted) machines_to_command_.insert(id);
       }
     }
     std::erase_if(heard_, [&](const auto& h) { return ctx_.now - h.second > ctx_.settings.lease_s; });
@@ -395,7 +395,8 @@
     due = std::min(due, next_scan_);
     if (want_schedule_) due = std::min(due, next_schedule_);
   }
-  for (const auto& id : touched_)  // those left by `work`: for the next batch, or with a pause before the next command
+  for (const auto& id :
+       machines_to_command_)  // those left by `work`: for the next batch, or with a pause before the next command
     if (const auto m = machines_.find(id); m != machines_.end()) due = std::min(due, m->second.next_direct);
   return due;
 }
@@ -406,29 +407,29 @@
     next_schedule_ = ctx_.now + ctx_.settings.report_s / 50;
     for (const int part : parts_)
       if (members_.held(part) != 0) schedule(part);
-    for (const auto& id : std::exchange(bereft_, {})) mark(id, 1);
+    for (const auto& id : std::exchange(jobs_that_lost_tasks_, {})) mark(id, WritePriority::placement);
   }
-  command_touched();
+  command_machines();
 }
 
 // In turn by id, a bounded number in a batch: with little processor time the commands to all machines of a part that was
 // just taken over took seconds, in which no renewal of the lease left, and the part was lost again.
-void Owner::command_touched() {
+void Owner::command_machines() {
   constexpr size_t kMostInABatch = 16;
   std::vector<std::string> ids;
-  auto next = touched_.upper_bound(last_commanded_);
-  for (size_t left = std::min(kMostInABatch, touched_.size()); left > 0; --left) {
-    if (next == touched_.end()) next = touched_.begin();
+  auto next = machines_to_command_.upper_bound(last_commanded_);
+  for (size_t left = std::min(kMostInABatch, machines_to_command_.size()); left > 0; --left) {
+    if (next == machines_to_command_.end()) next = machines_to_command_.begin();
     ids.push_back(*next++);
   }
   for (const auto& id : ids) {
     last_commanded_ = id;
-    touched_.erase(id);
+    machines_to_command_.erase(id);
     Machine* m = machine(id);
     if (!m) continue;
     direct(*m);
     // Still something to do later: a pause is over, or an answer outstanding.
-    if (m->wanted && !m->in_flight && ctx_.now < m->next_direct) touched_.insert(id);
+    if (m->wanted && !m->in_flight && ctx_.now < m->next_direct) machines_to_command_.insert(id);
   }
 }
 
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -46,7 +46,7 @@
     // Stamp of the record under which a write of ours had no answer: until the stamp has moved, that write may replace
     // what the record says now. 0: none.
     uint64_t unsettled_stamp = 0;
-    int queued_priority = 99;
+    std::optional<WritePriority> queued_priority;  // of its write that waits
     double retry_at = 0;
     int failures = 0;
     std::set<std::string> avoid;
@@ -63,7 +63,7 @@
     double last_report = 0;  // last one that the worker sent by itself: direct answers renew no lease
     double heard_since = 0;  // when a silence last ended
     double direct_failing_since = 0;
-    double relayed_at = -1e9;        // last newer report that came through another controller
+    double relayed_at = kLongAgo;    // last newer report that came through another controller
     uint64_t session_when_deaf = 0;  // when direct commands began to fail
     uint64_t session = 0, seq = 0, token_seen = 0;
     bool known = false;  // reported to us
@@ -81,10 +81,10 @@
     store::Resources used;
   };
 
-  /// A job that waits for room, and a text that is the same for all that fit or don't fit alike.
+  /// A job that waits for room, and its placement class: the same text for all that fit or don't fit alike.
   struct Contender {
     OwnedJob* job = nullptr;
-    std::string shape;
+    std::string placement_class;
   };
   /// Where the tasks of a job would go: machine and room, an entry a task.
   using PlannedRoom = std::vector<std::pair<std::string, store::Resources>>;
@@ -99,18 +99,18 @@
   // bookkeeping
   void adopt_job(const std::string& id, const store::JobRecord& record);
   void index(const store::JobRecord& r, const store::Placement& p, double sign);
-  void note_pending(const OwnedJob& j);
-  void touch_machines_of(OwnedJob& j);
+  void update_pending(const OwnedJob& j);
+  void command_machines_of(OwnedJob& j);
   void rebase(const std::string& id);
   void drop_gone_placements(const std::string& id);
   void drop_job(const std::string& id);
   void place(OwnedJob& j, uint32_t task, const std::string& machine);
   void unplace(OwnedJob& j, uint32_t task);
   void lose_member(OwnedJob& j, uint32_t task);
-  void mark(const std::string& id, int priority);
+  void mark(const std::string& id, WritePriority priority);
   void settle_by_writing(OwnedJob& j, uint64_t stamp);
   void machine_gone(const std::string& id);
-  void write_machine(const std::string& id, int priority, std::function<bool(store::MachineRecord&)> change);
+  void write_machine(const std::string& id, WritePriority priority, std::function<bool(store::MachineRecord&)> change);
 
   // workers
   ReportReply reply_to(const WorkerReport& report, bool relayed);
@@ -123,10 +123,10 @@
   void follow_task(OwnedJob& j, const ReportedTask& t, std::vector<WorkerCommand>& commands);
   void clear_stray(const Machine& m, const ReportedTask& t, std::vector<WorkerCommand>& commands) const;
   bool start_absent(Machine& m, const std::set<TaskKey>& present, std::vector<WorkerCommand>& commands);
-  void tell_first_run(OwnedJob& j);
+  void log_first_run(OwnedJob& j);
   void task_ended(Machine& m, OwnedJob& j, const ReportedTask& t);
   void direct(Machine& m);
-  void command_touched();
+  void command_machines();
   void check_health(Machine& m);
   bool reports(const Machine& m) const { return ctx_.now - m.last_report <= ctx_.tune.probe_after_s; }
   void count_silent();
@@ -145,7 +145,7 @@
   uint32_t placement_room(const store::JobRecord& r, const std::vector<Slot>& slots) const;
   size_t most_new_machines() const { return static_cast<size_t>(std::max(1, ctx_.settings.txn_ops * 4 - 2)); }
   uint32_t next_pending(const store::JobRecord& r, uint32_t from) const;
-  std::string shape_of(const OwnedJob& j) const;
+  std::string placement_class_of(const OwnedJob& j) const;
   void schedule(int part);
   bool place_gang(const std::string& id, OwnedJob& j, std::vector<Slot>& slots);
   bool all_gathering(const OwnedJob& j);
@@ -178,8 +178,8 @@
   // What our jobs have where, on machines of other parts and of nobody, too: looking through all jobs for
   // each machine that came or went took seconds when dozens went at once.
   std::unordered_map<std::string, TasksOnMachine> placed_on_;
-  std::set<std::string> pending_;  // jobs with tasks to be placed
-  std::set<std::string> bereft_;   // jobs that lost tasks with a machine, not written since
+  std::set<std::string> pending_;               // jobs with tasks to be placed
+  std::set<std::string> jobs_that_lost_tasks_;  // jobs that lost tasks with a machine, not written since
   struct Silence {
     int machines = 0, silent = 0;
   };
@@ -187,7 +187,7 @@
   std::map<std::string, store::Resources> team_used_;
   std::unordered_map<std::string, double> heard_;
   std::unordered_map<std::string, double> relaying_since_;  // by machine
-  std::set<std::string> touched_;                           // machines to command at the end of the batch
+  std::set<std::string> machines_to_command_;               // machines to command at the end of the batch
   std::string last_commanded_;                              // of them; the next ones follow it by id
   bool want_schedule_ = false;
   std::vector<double> condemned_at_;  // for silence, of late
--- a/src/coordination/owner_health.cpp
+++ b/src/coordination/owner_health.cpp
@@ -34,7 +34,7 @@
   m.condemning = true;
   ctx_.counters["machines_condemned"]++;
   ctx_.info("machine " + m.id + " condemned: " + why);
-  write_machine(m.id, 0, [](MachineRecord& r) {
+  write_machine(m.id, WritePriority::request, [](MachineRecord& r) {
     r.phase = MachinePhase::condemned;
     return true;
   });
@@ -54,7 +54,7 @@
   const double silent = ctx_.now - m.last_news;
   if (silent > ctx_.tune.probe_after_s) {
     m.wanted = true;
-    touched_.insert(m.id);
+    machines_to_command_.insert(m.id);
   }
   // Deaf is who speaks and does not hear: silent machines, whose reports came with the end of a cut, were
   // condemned at that very moment for the commands that had failed in it.
@@ -100,10 +100,10 @@
             p.stopping = true;
             changed.insert(key.first);
           }
-    for (const auto& id : changed) mark(id, 1);
+    for (const auto& id : changed) mark(id, WritePriority::placement);
     return;
   }
-  write_machine(m.id, 2, [this, empty, id = m.id](MachineRecord& r) {
+  write_machine(m.id, WritePriority::end, [this, empty, id = m.id](MachineRecord& r) {
     if (r.phase != MachinePhase::offered) return false;
     const Machine* mine = machine(id);
     r.drain = false;
--- a/src/coordination/owner_requeue.cpp
+++ b/src/coordination/owner_requeue.cpp
@@ -87,9 +87,9 @@
 std::vector<Owner::Contender> Owner::contenders(int part) {
   std::vector<Contender> out;
   for (OwnedJob* c : waiting(part)) {
-    const std::string shape = shape_of(*c);
+    const std::string placement_class = placement_class_of(*c);
     const size_t missing = c->cur.spec.tasks - c->cur.done.size() - c->cur.placed.size();
-    out.push_back({c, shape.empty() ? c->cur.spec.id : shape + "#" + std::to_string(missing)});
+    out.push_back({c, placement_class.empty() ? c->cur.spec.id : placement_class + "#" + std::to_string(missing)});
   }
   return out;
 }
@@ -102,16 +102,16 @@
 std::optional<size_t> Owner::try_contenders(const OwnedJob& victim, const std::vector<Contender>& contenders,
                                             std::vector<Slot>& picture, PlannedRoom& used) {
   // With hundreds of both, a trial for each pair kept reports and renewals waiting for seconds: jobs of one
-  // shape and number of tasks are tried once.
+  // placement class and number of tasks are tried once.
   std::unordered_set<std::string> tried;
   for (size_t i = 0; i < contenders.size(); ++i) {
     const auto& contender = contenders[i];
     if (contender.job->cur.spec.rank <= victim.cur.spec.rank) break;  // sorted by rank
-    if (tried.count(contender.shape) || has_promise(contender.job->cur.spec.id)) continue;
+    if (tried.count(contender.placement_class) || has_promise(contender.job->cur.spec.id)) continue;
     used.clear();
     if (fits_whole(*contender.job, picture, &used)) return i;
     ctx_.counters["requeue_rollbacks_total"]++;
-    tried.insert(contender.shape);
+    tried.insert(contender.placement_class);
   }
   return std::nullopt;
 }
@@ -121,7 +121,7 @@
   ctx_.info("requeue committed: " + victim.cur.spec.id + " makes room for " + contender.cur.spec.id);
   victim.cur.not_before = ctx_.wall + ctx_.operators.requeue_delay_s;
   for (auto& p : victim.cur.placed) p.stopping = true;
-  mark(victim.cur.spec.id, 1);
+  mark(victim.cur.spec.id, WritePriority::placement);
   for (const auto& [machine_id, room] : used)
     promises_.push_back({contender.cur.spec.id, machine_id, room, ctx_.now + ctx_.settings.lease_s});
 }
--- a/src/coordination/owner_scheduling.cpp
+++ b/src/coordination/owner_scheduling.cpp
@@ -257,9 +257,9 @@
     }
     task = next_pending(j.cur, task + 1);
   }
-  note_pending(j);
+  update_pending(j);
   ctx_.counters["placements"]++;
-  mark(id, 1);
+  mark(id, WritePriority::placement);
   return true;
 }
 
@@ -291,29 +291,29 @@
     any = true;
   }
   if (any) {
-    note_pending(j);
+    update_pending(j);
     ctx_.counters["placements"]++;
-    mark(id, 1);
+    mark(id, WritePriority::placement);
   }
   return any;
 }
 
-// Jobs of the same shape fit or don't fit alike. Empty: this one is like no other.
-std::string Owner::shape_of(const OwnedJob& j) const {
+// Jobs of the same placement class fit or don't fit alike. Empty: this one is like no other.
+std::string Owner::placement_class_of(const OwnedJob& j) const {
   if (!j.avoid.empty()) return "";
   const auto& s = j.cur.spec;
-  std::string shape = s.job_class + "|" + s.team + "|" + std::to_string(s.per_task.cpus) + "|" +
-                      std::to_string(s.per_task.gpus) + "|" + std::to_string(s.per_task.memory_gb) + "|" +
-                      (!s.spot                                              ? ""
-                       : can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall) ? "w"
-                                                                            : "s") +
-                      (s.spread ? "h" + std::to_string((s.tasks + 1) / 2) : "") + (s.one_zone ? "z" : "") +
-                      (s.zone ? *s.zone : "");
+  std::string result = s.job_class + "|" + s.team + "|" + std::to_string(s.per_task.cpus) + "|" +
+                       std::to_string(s.per_task.gpus) + "|" + std::to_string(s.per_task.memory_gb) + "|" +
+                       (!s.spot                                              ? ""
+                        : can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall) ? "w"
+                                                                             : "s") +
+                       (s.spread ? "h" + std::to_string((s.tasks + 1) / 2) : "") + (s.one_zone ? "z" : "") +
+                       (s.zone ? *s.zone : "");
   if (s.types)
-    for (const auto& t : *s.types) shape += "|" + t;
+    for (const auto& t : *s.types) result += "|" + t;
   if (s.spread || s.one_zone)
-    for (const auto& [zone, n] : zones_of(j.cur)) shape += "|" + zone + std::to_string(n);
-  return shape;
+    for (const auto& [zone, n] : zones_of(j.cur)) result += "|" + zone + std::to_string(n);
+  return result;
 }
 
 void Owner::schedule(int part) {
@@ -342,8 +342,8 @@
                share;
     return 1e9;
   };
-  // Shapes that did not fit in this pass need not be tried again.
-  std::set<std::string> hopeless;
+  // Placement classes that did not fit in this pass need not be tried again.
+  std::set<std::string> without_room;
   for (;;) {
     const std::string* team = nullptr;
     for (const auto& [name, queue] : queues)
@@ -352,8 +352,8 @@
     OwnedJob& j = *queues[*team][next[*team]++];
     const auto& s = j.cur.spec;
     const std::string& id = s.id;
-    const std::string shape = shape_of(j);
-    if (!shape.empty() && hopeless.count(shape)) continue;
+    const std::string placement_class = placement_class_of(j);
+    if (!placement_class.empty() && without_room.count(placement_class)) continue;
     // Room promised to this job counts for it.
     bool promised = false;
     for (const auto& p : promises_)
@@ -363,7 +363,7 @@
           if (slot.machine == p.machine) slot.free.add(p.room);
       }
     if (promised) std::erase_if(promises_, [&](const Promise& p) { return p.job == id && machine(p.machine) == nullptr; });
-    // A record that is full, or a write that is, says nothing of the jobs of the same shape behind this one.
+    // A record that is full, or a write that is, says nothing of the jobs of the same class behind this one.
     bool no_room = false;
     const bool placed = place_some(id, j, open_slots, no_room);
     if (promised && placed) {
@@ -374,7 +374,7 @@
           for (auto& slot : open_slots)
             if (slot.machine == p.machine) slot.free.add(p.room, -1);
     }
-    if (!placed && no_room && !shape.empty()) hopeless.insert(shape);
+    if (!placed && no_room && !placement_class.empty()) without_room.insert(placement_class);
   }
 }
 
--- a/src/coordination/owner_workers.cpp
+++ b/src/coordination/owner_workers.cpp
@@ -108,7 +108,7 @@
       auto all = reconcile(*m, has_start);
       // Starts go directly only: one in an answer could arrive after a direct stop.
       if (has_start) {
-        touched_.insert(m->id);
+        machines_to_command_.insert(m->id);
       } else {
         commands = std::move(all);
       }
@@ -157,12 +157,12 @@
         if (p.task == key.second) p.stopping = true;
       changed.insert(key.first);
     }
-    for (const auto& id : changed) mark(id, 1);
+    for (const auto& id : changed) mark(id, WritePriority::placement);
   }
   m.notice_s = report.notice_s;
   const auto* record = model_.machine(m.id);
   if (record && record->record.address != report.address) {
-    write_machine(m.id, 0, [address = report.address](MachineRecord& r) {
+    write_machine(m.id, WritePriority::request, [address = report.address](MachineRecord& r) {
       if (r.address == address) return false;
       r.address = address;
       return true;
@@ -185,7 +185,7 @@
       // The tasks of a gang complete together: what a lost machine could not tell any more is done, too.
       if (j.cur.spec.kind == JobKind::gang)
         for (uint32_t task = 0; task < j.cur.spec.tasks; ++task) j.cur.done.insert(task);
-      note_pending(j);
+      update_pending(j);
       m.failed_jobs.clear();
       break;
     case ExitCause::error:
@@ -215,11 +215,11 @@
   }
   if (j.cur.status == JobStatus::open && j.cur.spec.kind != JobKind::service && j.cur.done.size() == j.cur.spec.tasks)
     j.cur.status = JobStatus::done;
-  mark(id, 2);
+  mark(id, WritePriority::end);
 }
 
 // One line a job: where the time went until all its tasks ran.
-void Owner::tell_first_run(OwnedJob& j) {
+void Owner::log_first_run(OwnedJob& j) {
   if (j.adopted_at == 0 || j.whole_at != 0 || j.cur.running() + j.cur.done.size() < j.cur.spec.tasks) return;
   j.whole_at = ctx_.now;
   if (!ctx_.logs(LogLine::Level::debug)) return;
@@ -262,8 +262,8 @@
     if (t.state == TaskState::running && !p.running) {
       p.running = true;
       j.cur.last_start = ctx_.wall;
-      tell_first_run(j);
-      mark(t.job, 3);
+      log_first_run(j);
+      mark(t.job, WritePriority::bookkeeping);
     }
     const auto* durable = model_.job(t.job);
     const auto* d = durable ? durable->record.same_placement(p) : nullptr;
@@ -315,7 +315,7 @@
   for (const auto& [job_id, task] : gone) {
     if (OwnedJob* j = job(job_id)) {
       unplace(*j, task);
-      mark(job_id, 2);
+      mark(job_id, WritePriority::end);
     }
   }
   return has_start;
@@ -343,10 +343,10 @@
     if ((d.status == 200 || d.status == 409) && report && report->machine == id) {
       mine->direct_failing_since = 0;
       process(*mine, *report);
-      touched_.insert(id);
+      machines_to_command_.insert(id);
       if (d.status == 409 && report->token > token(*mine)) mine->next_direct = ctx_.now + ctx_.tune.probe_every_s;
       // The worker hears us again: a new token shuts out what is still under way.
-      if (mine->uncertain != 0) write_machine(id, 0, [](MachineRecord&) { return true; });
+      if (mine->uncertain != 0) write_machine(id, WritePriority::request, [](MachineRecord&) { return true; });
     } else {
       if (has_start) mine->uncertain = std::max(mine->uncertain, used_token);
       if (mine->direct_failing_since == 0) {
--- a/src/coordination/state_link.cpp
+++ b/src/coordination/state_link.cpp
@@ -252,14 +252,12 @@
 
 void StateLink::write(WriteRequest request) {
   auto item = std::make_shared<Item>();
-  const int priority = std::clamp(request.priority, 0, kPriorities - 1);
+  auto& queue = queue_of(request.priority);
   item->request = std::move(request);
-  queue_[priority].push_back(std::move(item));
+  queue.push_back(std::move(item));
 }
 
-void StateLink::requeue(const ItemPtr& item) {
-  queue_[std::clamp(item->request.priority, 0, kPriorities - 1)].push_front(item);
-}
+void StateLink::requeue(const ItemPtr& item) { queue_of(item->request.priority).push_front(item); }
 
 void StateLink::flush() {
   constexpr size_t kTxnBytes = size_t{56} * 1024;  // the service takes 64 KiB; the rest is for the frame
--- a/src/coordination/state_link.h
+++ b/src/coordination/state_link.h
@@ -18,6 +18,14 @@
   skipped     // `prepare` found nothing to write
 };
 
+/// In the order in which writes leave when the budget is short.
+enum class WritePriority {
+  request,     // acceptances, cancellations, keys held
+  placement,   // placements, and stops that make room
+  end,         // ends of tasks, machines offered and given back
+  bookkeeping  // for display and for the next owner
+};
+
 struct Prepared {
   uint64_t expected = 0;  // stamp that the key must have, 0: absent
   std::optional<store::Json> value;
@@ -27,7 +35,7 @@
 
 struct WriteRequest {
   std::string key;
-  int priority = 0;                        // 0: accept, cancel, keys held; 1: start; 2: done; 3: bookkeeping
+  WritePriority priority = WritePriority::request;
   std::function<bool(Prepared&)> prepare;  // runs when the write is about to leave
   std::function<void(WriteOutcome, uint64_t stamp)> done;
 };
@@ -52,7 +60,7 @@
   double last_contact() const { return last_contact_; }
   /// The model holds all that was written before this time. Other requests may succeed while the changes don't come.
   double current_at() const { return current_at_; }
-  bool ever_synced() const { return current_at_ > kNever; }
+  bool ever_synced() const { return current_at_ > kLongAgo; }
   double backlog() const;
   /// How long a write of the first priority would wait now.
   double accept_delay() const;
@@ -92,8 +100,7 @@
   Context& ctx_;
   store::Model& model_;
   uint64_t lease_ = 0;
-  static constexpr double kNever = -1e9;
-  double lease_until_ = 0, next_renew_ = 0, last_contact_ = 0, current_at_ = kNever;
+  double lease_until_ = 0, next_renew_ = 0, last_contact_ = 0, current_at_ = kLongAgo;
   bool renewing_ = false, failing_ = false;
   bool synced_ = false, syncing_ = false, following_ = false;
   double next_sync_ = 0, next_follow_ = 0;
@@ -114,7 +121,8 @@
   std::vector<Proof> proofs_;
 
   static constexpr int kPriorities = 4;
-  std::deque<ItemPtr> queue_[kPriorities];
+  std::deque<ItemPtr> queue_[kPriorities];  // by priority
+  std::deque<ItemPtr>& queue_of(WritePriority priority) { return queue_[static_cast<size_t>(priority)]; }
   std::set<std::string> keys_in_flight_;
   std::vector<std::pair<double, ItemPtr>> lookups_due_;
   int txns_in_flight_ = 0;
