--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -55,7 +55,8 @@
 
 double Leader::next_due() const {
   if (!leading_ || link_.in_doubt()) return kNoDueTime;
-  double due = fetching_types_ ? kNoDueTime : next_types_;
+  double due = kNoDueTime;
+  if (!fetching_types_) due = next_types_;
   if (model_.types().empty()) return due;
   if (!deleting_) due = std::min(due, next_delete_);
   if (!listing_) due = std::min(due, next_list_);
