--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -169,6 +169,7 @@
 }
 
 HttpServer::~HttpServer() {
+  loop_.cancel(sweep_timer_);
   for (auto& [fd, c] : connections_) {
     loop_.unwatch(fd);
     close(fd);
@@ -186,7 +187,7 @@
     if (c.last_used > oldest) break;
     drop(c.fd);
   }
-  loop_.after(limits_.idle_s / 8, [this] { sweep(); });
+  sweep_timer_ = loop_.after(limits_.idle_s / 8, [this] { sweep(); });
 }
 
 void HttpServer::accept_all() {
@@ -297,6 +298,7 @@
 
 HttpClient::~HttpClient() {
   for (auto& [fd, c] : connections_) {
+    if (c->timer) loop_.cancel(c->timer);
     loop_.unwatch(fd);
     close(fd);
   }
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -98,6 +98,7 @@
   std::unordered_map<int, std::unique_ptr<Connection>> connections_;
   std::unordered_map<ExchangeId, int> exchanges_;
   std::list<int> by_age_;  // least recently used first
+  Loop::TimerId sweep_timer_ = 0;
 };
 
 class HttpClient {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -18,8 +18,7 @@
   settings_.gang_peer_s = options_.gang_peer_s;
   settings_.state_rps = options_.state_rps;
   settings_.state_write_rps = options_.state_write_rps;
-  settings_.value_kb = value_kb_;
-  settings_.txn_ops = txn_ops_;
+  std::tie(settings_.value_kb, settings_.txn_ops) = kPresentLimits;
   if (options_.next_limits) std::tie(settings_.value_kb, settings_.txn_ops) = *options_.next_limits;
   settings_.next_write_rps = options_.next_write_rps;
   settings_.cloud_rps = options_.cloud_rps;
@@ -38,6 +37,9 @@
     if (const auto v = options_.versions.find(n); v != options_.versions.end()) nodes_.back().version = v->second;
     nodes_.back().drift = 1 + std::uniform_real_distribution<>(0, 0.0005)(rng_);
   }
+  state_.set_limits(kPresentLimits.first, kPresentLimits.second);
+  state_.set_page(options_.page);
+  state_.on_put = [this](const std::string& key) { send_kept_copies(key); };
   for (int n = 0; n < options_.nodes; ++n) start_node(n);
 }
 
--- a/tests/world.h
+++ b/tests/world.h
@@ -12,6 +12,7 @@
 
 #include "coordination/core.h"
 #include "simulated_controller.h"
+#include "state_service.h"
 
 namespace rushtrestle::testing {
 
@@ -150,11 +151,6 @@
     double wall_offset = 0, drift = 1, frozen_until = 0;
     double starved_until = 0, batch_s = 0;
   };
-  struct Entry {
-    Json value;
-    uint64_t stamp = 0;
-    uint64_t lease = 0;
-  };
   struct Task {
     ReportedTask report;
     double remaining = 0, fetch_until = 0, last_step = 0;
@@ -203,7 +199,7 @@
   void carry_out(int n, Effect&& e);
   void perform(int n, int generation, Call&& c);
   CallDone at_state(int n, const Call& c);
-  void apply_transaction(const Txn& t, CallDone& done);
+  void check_value_sizes(const Txn& t);
   void watch(int n, int generation, const Call& c, double deadline);
   CallDone at_cloud(const Call& c);
   void rent_machines(const RentMachines& r, CallDone& done);
@@ -235,7 +231,7 @@
            (t.report.state == TaskState::fetching && t.gathered_at >= 0);
   }
   void expire_leases();
-  void change(const std::string& key, std::optional<Json> value, uint64_t lease);
+  void send_kept_copies(const std::string& key);
   Worker* pick_worker(size_t pick);
   Worker* worker_of(const std::string& job, size_t nth);
   void user_submit(const std::string& id, int tries);
@@ -260,13 +256,7 @@
   uint64_t serial_ = 0;
   std::map<std::pair<double, uint64_t>, std::function<void()>> events_;
   std::vector<Node> nodes_;
-  std::map<std::string, Entry> keys_;
-  std::vector<store::Change> log_;
-  uint64_t revision_ = 1, next_lease_ = 1;
-  struct Lease {
-    double ttl, until;
-  };
-  std::map<uint64_t, Lease> leases_;
+  StateService state_;
   double outage_until_ = 0, limited_until_ = 0, slow_until_ = 0;
   std::map<int, double> refused_until_;
   std::map<std::string, Worker> workers_;
@@ -277,9 +267,6 @@
   double copies_until_ = 0, copies_late_ = 0, copies_kept_until_ = 0;
   std::vector<std::function<void()>> kept_copies_;
   static constexpr std::pair<double, int> kPresentLimits{4, 8};
-  double value_kb_ = kPresentLimits.first;  // in force
-  int txn_ops_ = kPresentLimits.second;
-  std::optional<TokenBucket> write_limit_;  // changes a second, once it has fallen
   double slow_links_until_ = 0, link_delay_s_ = 0;
   double unanswered_until_ = 0, unanswered_share_ = 0;
   bool unanswered_at_once_ = false;
--- a/tests/world_users.cpp
+++ b/tests/world_users.cpp
@@ -159,10 +159,7 @@
   return it == starts.end() ? 0 : it->second;
 }
 
-const Json* World::stored(const std::string& key) const {
-  const auto it = keys_.find(key);
-  return it == keys_.end() ? nullptr : &it->second.value;
-}
+const Json* World::stored(const std::string& key) const { return state_.value_of(key); }
 
 size_t World::gathering(const std::string& job) const {
   size_t n = 0;
