A scale run: real controllers, hollow workers and stand-ins on one machine's loopback

Change: bench/scale plays an experiment file: controllers as processes, the tests' state service as a process behind sockets, and in one more process the cloud, hollow workers with an address of their own each, and open-loop users, with the protocol's rules checked at each start. rushtrestle_slopes does one kind of work at one size, for callgrind.

--- /dev/null
+++ b/bench/scale/local_controller.h
@@ -0,0 +1,57 @@
+// One controller's core in this process, with the state service's stand-in, machines that do what they are told, and no
+// network: for counting what a piece of work costs.
+#pragma once
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "coordination/core.h"
+#include "state_service.h"
+
+namespace rushtrestle::scale {
+
+class LocalController {
+ public:
+  /// Machines are of one type of 6 CPUs in two zones; `teams` share them without a limit that matters.
+  explicit LocalController(int teams);
+
+  testing::StateService& state() { return state_; }
+  coordination::Core& core() { return *core_; }
+  const store::Settings& settings() const { return settings_; }
+  /// Puts a machine into service: its record, and a worker that reports.
+  void add_machine(int number);
+  /// Reads all keys, takes the only part and leads.
+  void start();
+  /// Hands one command to the core, and carries out what follows until nothing is under way.
+  void handle(coordination::Command command);
+  /// Lets time pass, with the ticks that the core asks for.
+  void pass(double seconds);
+  void submit(const store::JobSpec& spec);
+  /// All tasks that run on machines are done.
+  void finish_all_tasks();
+  coordination::WorkerReport report_of(const std::string& machine);
+  double now() const { return now_; }
+  static std::string machine_id(int number);
+
+ private:
+  void carry_out(coordination::Effect&& effect);
+  void answer(const coordination::Call& call);
+  void command_worker(const coordination::CommandWorker& command, coordination::CallDone& done);
+  void work_off();
+
+  store::Settings settings_;
+  testing::StateService state_;
+  std::unique_ptr<coordination::Core> core_;
+  std::map<std::string, coordination::WorkerReport> workers_;  // by address, which is the machine's id
+  std::deque<coordination::Command> commands_;
+  std::optional<coordination::Call> watch_;
+  coordination::RequestId next_request_ = 1;
+  double now_ = 1000;
+};
+
+store::MachineType local_machine_type();
+/// An array of tasks of one CPU.
+store::JobSpec local_job(int number, uint32_t tasks, int of_teams);
+
+}  // namespace rushtrestle::scale
--- /dev/null
+++ b/bench/scale/run.h
@@ -0,0 +1,65 @@
+// One run: everything that takes part, what is measured of it, and the report.
+#pragma once
+#include "fleet.h"
+#include "processes.h"
+#include "users.h"
+
+namespace rushtrestle::scale {
+
+class Run {
+ public:
+  /// Starts all processes and stand-ins. Throws std::runtime_error when something can't be started.
+  Run(const Experiment& experiment, const std::string& controller_program);
+  ~Run();
+  Run(const Run&) = delete;
+  Run& operator=(const Run&) = delete;
+
+  /// Plays until the time is over, a rule is broken or a process fails; then gives the report.
+  store::Json play();
+  /// What ended the run early; empty: nothing did.
+  const std::string& failure() const { return failure_; }
+  const std::vector<std::string>& violations() const { return jobs_.violations; }
+
+ private:
+  struct Recovery {
+    Trouble trouble;
+    double began_at = 0;
+    double running_before = 0;
+    double lowest_share = 1;
+    double recovered_after = -1;                              // seconds until 0.98 of the tasks run again
+    double first_healthy_after = -1, all_healthy_after = -1;  // of controllers that were killed
+    std::vector<bool> healthy;
+  };
+  void sample();
+  void check_limits();
+  void begin_trouble(size_t index);
+  void probe_health(size_t recovery, int controller);
+  void fail(const std::string& why);
+  void collect();
+  void get(const std::string& address, const std::string& path, std::function<void(int, const std::string&)> then);
+  store::Json report() const;
+  store::Json controllers_report() const;
+  store::Json troubles_report() const;
+
+  const Experiment& experiment_;
+  transport::Loop loop_;
+  std::mt19937_64 random_;
+  JobBook jobs_;
+  pid_t state_pid_ = 0;
+  Controllers controllers_;
+  std::unique_ptr<Fleet> fleet_;
+  std::unique_ptr<Users> users_;
+  transport::HttpClient probes_;
+  double began_at_ = 0;
+  std::vector<std::pair<double, size_t>> running_samples_;
+  std::vector<Recovery> recoveries_;
+  std::string failure_;
+  store::Json state_counters_;
+  std::vector<store::Json> controller_stats_;
+  size_t still_to_collect_ = 0;
+};
+
+/// The page of text that a person reads.
+std::string report_text(const store::Json& report);
+
+}  // namespace rushtrestle::scale
--- /dev/null
+++ b/bench/scale/slopes.cpp
@@ -0,0 +1,242 @@
+// rushtrestle_slopes: does one kind of work at one size, for the instruction counts of callgrind, and measures memory. It is
+// called for several sizes by bench/scale/slopes.py, which fits the slopes.
+#include <malloc.h>
+
+#include <CLI/CLI.hpp>
+#include <functional>
+#include <iostream>
+
+#include "local_controller.h"
+#include "protocol/codec.h"
+#include "wire.h"
+#if __has_include(<valgrind/callgrind.h>)
+#include <valgrind/callgrind.h>
+#else
+#define CALLGRIND_TOGGLE_COLLECT
+#endif
+
+namespace {
+
+using namespace rushtrestle;
+using namespace rushtrestle::coordination;
+using scale::local_job;
+using scale::LocalController;
+
+constexpr int kTeams = 20;
+
+double allocated_bytes() {
+  const auto info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+struct NoListener : store::Model::Listener {
+  void job_changed(const std::string&) override {}
+  void machine_changed(const std::string&) override {}
+  void holder_changed(const std::string&) override {}
+};
+
+// ---- memory: bytes that `size` of something take ----
+
+double model_bytes(int size, const std::function<store::Change(int)>& change) {
+  NoListener listener;
+  store::Model model(listener);
+  const double before = allocated_bytes();
+  for (int i = 0; i < size; ++i) model.apply(change(i));
+  return allocated_bytes() - before;
+}
+
+store::Change job_change(int number, uint32_t placements, store::JobStatus status) {
+  store::JobRecord r;
+  r.spec = local_job(number, 10, kTeams);
+  r.status = status;
+  r.submitted = 1e9;
+  for (uint32_t t = 0; t < r.spec.tasks; ++t) {
+    if (status == store::JobStatus::done) r.done.insert(t);
+    if (t < placements) r.placed.push_back({t, LocalController::machine_id(static_cast<int>(t)), 1, true, false});
+  }
+  store::Json value = to_json(r);
+  value["w"] = "0123456789abcdef.1234";
+  return {store::job_key(r.spec.id), std::move(value), static_cast<uint64_t>(number) + 1};
+}
+
+store::Change machine_change(int number, store::MachinePhase phase) {
+  store::MachineRecord r;
+  r.id = LocalController::machine_id(number);
+  r.address = "10.1.0.232:9000";
+  r.type = "mid";
+  r.zone = "a";
+  r.phase = phase;
+  store::Json value = to_json(r);
+  value["w"] = "0123456789abcdef.1234";
+  return {store::machine_key(r.id), std::move(value), static_cast<uint64_t>(number) + 1};
+}
+
+/// What the holder of the part keeps beside the model: measured as a whole controller with so many live jobs or machines.
+double controller_bytes(int jobs, int machines, int teams) {
+  const double before = allocated_bytes();
+  LocalController controller(teams);
+  for (int i = 0; i < machines; ++i) controller.add_machine(i);
+  for (int i = 0; i < jobs; ++i) {
+    const auto c = job_change(i, 0, store::JobStatus::open);
+    controller.state().preset(c.key, *c.value);
+  }
+  const double with_state = allocated_bytes();
+  controller.start();
+  (void)before;
+  return allocated_bytes() - with_state;
+}
+
+// ---- work: instructions of `count` times, counted by callgrind between the toggles ----
+
+void counted(int count, const std::function<void(int)>& work) {
+  work(0);  // the first one fills caches and maps
+  CALLGRIND_TOGGLE_COLLECT;
+  for (int i = 1; i <= count; ++i) work(i);
+  CALLGRIND_TOGGLE_COLLECT;
+}
+
+void reports(int tasks, int count) {
+  LocalController controller(kTeams);
+  controller.add_machine(1);
+  for (int i = 2; i * 6 < tasks + 12; ++i) controller.add_machine(i);
+  controller.start();
+  WorkerReport report = controller.report_of(LocalController::machine_id(1));
+  for (int i = 0; i < tasks; ++i)
+    report.tasks.push_back({"job-" + std::to_string(i), 0, 1, TaskState::running, ExitCause::none, false, false});
+  for (int i = 0; i < tasks; ++i) {
+    store::JobRecord r;
+    r.spec = local_job(i, 1, kTeams);
+    r.attempts = 1;
+    r.placed.push_back({0, LocalController::machine_id(1), 1, true, false});
+    controller.state().preset(store::job_key(r.spec.id), to_json(r));
+  }
+  controller.pass(1);
+  report.token = controller.report_of(LocalController::machine_id(1)).token;
+  counted(count, [&](int i) {
+    report.seq = 1000 + static_cast<uint64_t>(i);
+    auto decoded = protocol::decode_request(1, "POST", "/checkin", scale::encode_report(report), false);
+    controller.handle(std::get<Command>(std::move(decoded)));
+  });
+}
+
+void report_encoding(int tasks, int count) {  // taken off `reports`: it is the worker's own
+  WorkerReport report;
+  report.machine = report.address = report.type = report.zone = "n-000001";
+  for (int i = 0; i < tasks; ++i)
+    report.tasks.push_back({"job-" + std::to_string(i), 0, 1, TaskState::running, ExitCause::none, false, false});
+  counted(count, [&](int) { scale::encode_report(report); });
+}
+
+void followed_changes(int placements, int count) {
+  NoListener listener;
+  store::Model model(listener);
+  std::vector<std::string> bodies;
+  for (int i = 0; i <= count; ++i)
+    bodies.push_back(scale::encode_state_reply(
+        CallDone{1, 200, WatchReply{1, {job_change(i, static_cast<uint32_t>(placements), store::JobStatus::open)}}}));
+  const auto kind = CallBody(Watch{}).index();
+  counted(count, [&](int i) {
+    const auto done = protocol::decode_reply(1, kind, "", 200, bodies[static_cast<size_t>(i)]);
+    for (const auto& change : std::get<WatchReply>(done.reply).events) model.apply(change);
+  });
+}
+
+/// Jobs of so many tasks from submission to `done`, on machines with room for all.
+void job_lives(int tasks, int count) {
+  LocalController controller(kTeams);
+  for (int i = 0; i < 20; ++i) controller.add_machine(i);
+  controller.start();
+  const auto before = controller.state().counters();
+  counted(count, [&](int i) {
+    controller.submit(local_job(i, static_cast<uint32_t>(tasks), kTeams));
+    controller.pass(0.5);
+    controller.finish_all_tasks();
+    controller.pass(0.5);
+  });
+  const auto& after = controller.state().counters();
+  std::cout << "puts " << static_cast<double>(after.puts - before.puts) / (count + 1) << " transactions "
+            << static_cast<double>(after.transactions - before.transactions) / (count + 1) << " requests "
+            << static_cast<double>(after.requests - before.requests) / (count + 1) << "\n";
+}
+
+void polls(int live_jobs, int count) {
+  LocalController controller(kTeams);
+  for (int i = 0; i < live_jobs; ++i) {
+    const auto c = job_change(i, 0, store::JobStatus::open);
+    controller.state().preset(c.key, *c.value);
+  }
+  controller.start();
+  counted(count, [&](int i) { controller.handle(QueryJob{1, "job-" + std::to_string(i % live_jobs)}); });
+}
+
+/// Seconds of a controller that holds everything and leads, with jobs that wait in vain and machines.
+void seconds(int waiting_jobs, int machines, int teams, int count) {
+  LocalController controller(teams);
+  for (int i = 0; i < machines; ++i) controller.add_machine(i);
+  for (int i = 0; i < waiting_jobs; ++i) {
+    store::JobRecord r;
+    r.spec = local_job(i, 10, teams);
+    r.spec.per_task.cpus = 5.5 + 0.001 * (i % 16);  // sixteen placement classes, a machine each
+    r.submitted = 1e9 + 1000;
+    controller.state().preset(store::job_key(r.spec.id), to_json(r));
+  }
+  controller.start();
+  counted(count, [&](int) { controller.pass(1); });
+}
+
+void start_up(int jobs, bool finished) {
+  LocalController controller(kTeams);
+  for (int i = 0; i < jobs; ++i) {
+    const auto c = job_change(i, finished ? 0 : 5, finished ? store::JobStatus::done : store::JobStatus::open);
+    controller.state().preset(c.key, *c.value);
+  }
+  CALLGRIND_TOGGLE_COLLECT;
+  controller.start();
+  CALLGRIND_TOGGLE_COLLECT;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using store::JobStatus;
+  using store::MachinePhase;
+  CLI::App app{"Does one kind of work at one size"};
+  std::string what;
+  int size = 0, count = 10;
+  app.add_option("work", what, "which")->required();
+  app.add_option("size", size, "its size")->required();
+  app.add_option("--count", count, "how often")->capture_default_str();
+  CLI11_PARSE(app, argc, argv);
+  const std::map<std::string, std::function<double()>> memory = {
+      {"live-job", [&] { return model_bytes(size, [](int i) { return job_change(i, 0, JobStatus::open); }); }},
+      {"live-job-10-placed", [&] { return model_bytes(size, [](int i) { return job_change(i, 10, JobStatus::open); }); }},
+      {"finished-job", [&] { return model_bytes(size, [](int i) { return job_change(i, 0, JobStatus::done); }); }},
+      {"machine", [&] { return model_bytes(size, [](int i) { return machine_change(i, MachinePhase::assigned); }); }},
+      {"machine-gone", [&] { return model_bytes(size, [](int i) { return machine_change(i, MachinePhase::gone); }); }},
+      {"held-job", [&] { return controller_bytes(size, 0, kTeams); }},
+      {"held-machine", [&] { return controller_bytes(0, size, kTeams); }},
+      {"team", [&] { return controller_bytes(0, 0, size); }}};
+  const std::map<std::string, std::function<void()>> work = {
+      {"report", [&] { reports(size, count); }},
+      {"report-encoding", [&] { report_encoding(size, count); }},
+      {"followed-change", [&] { followed_changes(size, count); }},
+      {"job-life", [&] { job_lives(size, count); }},
+      {"poll", [&] { polls(size, count); }},
+      {"second-by-waiting-jobs", [&] { seconds(size, 50, kTeams, count); }},
+      {"second-by-machines", [&] { seconds(50, size, kTeams, count); }},
+      {"second-by-teams", [&] { seconds(50, 50, size, count); }},
+      {"start-up-live", [&] { start_up(size, false); }},
+      {"start-up-history", [&] { start_up(size, true); }}};
+  if (const auto m = memory.find(what); m != memory.end()) {
+    std::cout << "bytes " << static_cast<long>(m->second()) << "\n";
+  } else if (const auto w = work.find(what); w != work.end()) {
+    w->second();
+  } else {
+    std::cerr << "rushtrestle_slopes: work: must be one of";
+    for (const auto& [name, f] : memory) std::cerr << " " << name;
+    for (const auto& [name, f] : work) std::cerr << " " << name;
+    std::cerr << "\n";
+    return 2;
+  }
+  return 0;
+}
