--- a/bench/scale/run.cpp
+++ b/bench/scale/run.cpp
@@ -32,7 +32,7 @@
 void raise_socket_limit(const Experiment& e) {
   rlim_t machines = 0;
   for (const auto& pool : e.pools) machines += static_cast<rlim_t>(pool.capacity) * e.platform.zones.size();
-  constexpr rlim_t kSocketsOfWorker = 4, kOthers = 3000;  // a listener, two connections in, one out
+  constexpr rlim_t kSocketsOfWorker = 5, kOthers = 2500;  // a listener, three connections in, one out
   const rlim_t needed = machines * kSocketsOfWorker + kOthers;
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <cstring>
 #include <stdexcept>
 
 namespace rushtrestle::transport {
@@ -75,6 +76,14 @@
 }
 }  // namespace
 
+std::string text_of(const Address& address) {
+  in_addr ip{};
+  ip.s_addr = address.ip;
+  char text[INET_ADDRSTRLEN];
+  inet_ntop(AF_INET, &ip, text, sizeof text);
+  return std::string(text) + ":" + std::to_string(address.port);
+}
+
 Address parse_address(const std::string& text) {
   const auto colon = text.rfind(':');
   Address a;
@@ -163,7 +172,7 @@
   const sockaddr_in sa = to_sockaddr(at);
   if (listener_ < 0 || bind(listener_, reinterpret_cast<const sockaddr*>(&sa), sizeof sa) != 0 ||
       listen(listener_, 256) != 0)
-    throw std::runtime_error("cannot listen");
+    throw std::runtime_error("cannot listen on " + text_of(at) + ": " + std::strerror(errno));
   loop_.watch(listener_, EPOLLIN, Loop::Priority::request, [this](uint32_t) { accept_all(); });
   sweep();
 }
@@ -342,13 +351,9 @@
     loop_.after(0, [done = std::move(done)] { done(0, {}); });
     return;
   }
-  in_addr ip{};
-  ip.s_addr = to.ip;
-  char text[INET_ADDRSTRLEN];
-  inet_ntop(AF_INET, &ip, text, sizeof text);
   c->busy = true;
   c->done = std::move(done);
-  c->out = method + " " + target + " HTTP/1.1\r\nHost: " + text + ":" + std::to_string(to.port);
+  c->out = method + " " + target + " HTTP/1.1\r\nHost: " + text_of(to);
   if (!body.empty() || method == "POST") {
     c->out += std::string("\r\nContent-Type: ") + content_type + "\r\nContent-Length: " + std::to_string(body.size());
   }
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -23,6 +23,8 @@
 };
 /// Throws std::invalid_argument for anything but "a.b.c.d:port".
 Address parse_address(const std::string& text);
+/// "a.b.c.d:port".
+std::string text_of(const Address& address);
 
 /// The parts of one message that both directions need.
 struct Message {
