The model no longer keeps the writers' marks, which nobody read

Cause: an unknown outcome is told by reading the key itself; the marks that the model kept beside each record were dead weight. Refactoring, no change of behaviour.

--- a/src/store/model.cpp
+++ b/src/store/model.cpp
@@ -13,28 +13,27 @@
 
 bool Model::apply(const Change& change) try {
   const std::string& key = change.key;
-  const std::string writer = change.value && change.value->is_object() ? change.value->value("w", "") : "";
   if (has_prefix(key, "job/")) {
-    if (change.value) apply_job(key.substr(4), change, writer);
+    if (change.value) apply_job(key.substr(4), change);
   } else if (has_prefix(key, "machine/")) {
-    if (change.value) apply_machine(key.substr(8), change, writer);
+    if (change.value) apply_machine(key.substr(8), change);
   } else if (has_prefix(key, "cancel/")) {
-    if (change.value) apply_cancellation(key.substr(7), change, writer);
+    if (change.value) apply_cancellation(key.substr(7), change);
   } else if (key == types_key) {
-    if (change.value) apply_types(change, writer);
+    if (change.value) apply_types(change);
   } else if (key == format_key) {
-    if (change.value) apply_format(change, writer);
+    if (change.value) apply_format(change);
   } else if (has_prefix(key, "part/") || key == leader_key) {
-    apply_holder(change, writer);
+    apply_holder(change);
   }
   return true;
 } catch (const Json::exception&) {
   return false;
 }
 
-void Model::apply_job(const std::string& id, const Change& change, const std::string& writer) {
+void Model::apply_job(const std::string& id, const Change& change) {
   if (const auto* old = job(id); old && change.stamp <= old->stamp) return;
-  Stamped<JobRecord> fresh{job_record_from_json(*change.value), change.stamp, writer};
+  Stamped<JobRecord> fresh{job_record_from_json(*change.value), change.stamp};
   // The record could not be written again: the cancellation beside it is its status.
   if (fresh.record.status == JobStatus::open && cancel_stamps_.count(id)) fresh.record.status = JobStatus::cancelled;
   const bool known_before = cancelled(id);
@@ -48,11 +47,10 @@
   listener_.job_changed(id);
 }
 
-void Model::apply_cancellation(const std::string& id, const Change& change, const std::string& writer) {
+void Model::apply_cancellation(const std::string& id, const Change& change) {
   auto& stamp = cancel_stamps_[id];
   if (change.stamp <= stamp) return;
   stamp = change.stamp;
-  cancel_writers_[id] = writer;
   const auto it = jobs_.find(id);
   if (it == jobs_.end() || it->second.record.final_state()) return;
   const bool known_before = cancelled(id);
@@ -66,33 +64,30 @@
   if (!known_before) cancellations_.push_back({id, stamp});
 }
 
-void Model::apply_machine(const std::string& id, const Change& change, const std::string& writer) {
+void Model::apply_machine(const std::string& id, const Change& change) {
   if (const auto* old = machine(id); old && change.stamp <= old->stamp) return;
-  Stamped<MachineRecord> fresh{machine_record_from_json(*change.value), change.stamp, writer};
+  Stamped<MachineRecord> fresh{machine_record_from_json(*change.value), change.stamp};
   machines_[id] = std::move(fresh);
   listener_.machine_changed(id);
 }
 
-void Model::apply_types(const Change& change, const std::string& writer) {
+void Model::apply_types(const Change& change) {
   if (change.stamp <= types_stamp_) return;
   types_ = types_from_json(change.value->at("types"));
   types_stamp_ = change.stamp;
-  types_writer_ = writer;
 }
 
-void Model::apply_format(const Change& change, const std::string& writer) {
+void Model::apply_format(const Change& change) {
   if (change.stamp <= format_stamp_) return;
   record_format_ = change.value->at("reads").get<uint64_t>();
   format_stamp_ = change.stamp;
-  format_writer_ = writer;
 }
 
-void Model::apply_holder(const Change& change, const std::string& writer) {
+void Model::apply_holder(const Change& change) {
   auto& slot = holders_[change.key];
   if (change.stamp <= slot.stamp) return;
   slot.stamp = change.stamp;
   slot.present = change.value.has_value();
-  slot.writer = writer;
   if (change.value) slot.record = holder_from_json(*change.value);
   listener_.holder_changed(change.key);
 }
@@ -114,25 +109,6 @@
 const Stamped<MachineRecord>* Model::machine(const std::string& id) const { return find_in(machines_, id); }
 const Holder* Model::holder(const std::string& key) const { return find_in(holders_, key); }
 
-std::string Model::writer_of(const std::string& key) const {
-  if (has_prefix(key, "job/")) {
-    const auto* j = job(key.substr(4));
-    return j ? j->writer : "";
-  }
-  if (has_prefix(key, "machine/")) {
-    const auto* m = machine(key.substr(8));
-    return m ? m->writer : "";
-  }
-  if (has_prefix(key, "cancel/")) {
-    const auto* writer = find_in(cancel_writers_, key.substr(7));
-    return writer ? *writer : "";
-  }
-  if (key == types_key) return types_writer_;
-  if (key == format_key) return format_writer_;
-  const auto* h = holder(key);
-  return h && h->present ? h->writer : "";
-}
-
 uint64_t Model::stamp_of(const std::string& key) const {
   if (has_prefix(key, "job/")) {
     const auto* j = job(key.substr(4));
--- a/src/store/model.h
+++ b/src/store/model.h
@@ -21,7 +21,6 @@
 struct Stamped {
   Record record;
   uint64_t stamp = 0;
-  std::string writer;  // marks the write, so that an unknown outcome can be told
 };
 
 /// A job known to be cancelled, with a stamp at which its record says so.
@@ -34,7 +33,6 @@
   HolderRecord record;
   uint64_t stamp = 0;
   bool present = false;
-  std::string writer;
 };
 
 class Model {
@@ -65,7 +63,6 @@
   const Stamped<JobRecord>* job(const std::string& id) const;
   const Stamped<MachineRecord>* machine(const std::string& id) const;
   const Holder* holder(const std::string& key) const;
-  std::string writer_of(const std::string& key) const;
   uint64_t stamp_of(const std::string& key) const;
 
   const std::unordered_map<std::string, Stamped<JobRecord>>& jobs() const { return jobs_; }
@@ -76,12 +73,12 @@
   const std::set<std::string>& live_jobs() const { return live_; }
 
  private:
-  void apply_job(const std::string& id, const Change& change, const std::string& writer);
-  void apply_machine(const std::string& id, const Change& change, const std::string& writer);
-  void apply_cancellation(const std::string& id, const Change& change, const std::string& writer);
-  void apply_types(const Change& change, const std::string& writer);
-  void apply_format(const Change& change, const std::string& writer);
-  void apply_holder(const Change& change, const std::string& writer);
+  void apply_job(const std::string& id, const Change& change);
+  void apply_machine(const std::string& id, const Change& change);
+  void apply_cancellation(const std::string& id, const Change& change);
+  void apply_types(const Change& change);
+  void apply_format(const Change& change);
+  void apply_holder(const Change& change);
   void note_cancelled(const std::string& id, uint64_t stamp, bool known_before);
 
   Listener& listener_;
@@ -90,15 +87,12 @@
   std::map<std::string, Stamped<MachineRecord>> machines_;
   std::map<std::string, Holder> holders_;
   std::vector<MachineType> types_;
-  std::string types_writer_;
   std::set<std::string> live_;
   std::vector<Cancellation> cancellations_;
   std::set<std::string> hearsay_;                  // heard of, not in the record yet
   std::map<std::string, uint64_t> cancel_stamps_;  // of the cancellations beside job records
   uint64_t record_format_ = 0;
   uint64_t format_stamp_ = 0;
-  std::string format_writer_;
-  std::map<std::string, std::string> cancel_writers_;
 };
 
 }  // namespace rushtrestle::store
