A pass looks up teams and counts planned machines once, not for each job and team

Cause: with 740 teams and some hundred waiting jobs a scheduling pass walked through all teams' settings for each team that it compared, and the plan counted all its machines for each one that it added. No change of what is decided.

--- a/src/coordination/capacity_planner.cpp
+++ b/src/coordination/capacity_planner.cpp
@@ -32,9 +32,8 @@
 
 const store::TeamSettings& CapacityPlanner::team_settings(const std::string& team) const {
   static const store::TeamSettings none;
-  for (const auto& t : ctx_.settings.teams)
-    if (t.name == team) return t;
-  return none;
+  const auto* known = ctx_.team(team);
+  return known ? *known : none;
 }
 
 double CapacityPlanner::missing_tasks(const JobRecord& job) const {
@@ -128,6 +127,8 @@
         slots_.push_back({"", type, shared_zone(*type, kind.zone), kind.spot, type->size, true});
   existing_ = slots_.size();
   was_empty_.assign(existing_, false);
+  slots_of_.clear();
+  for (const auto& slot : slots_) ++slots_of_[{slot.type->name, *slot.zone}];
   for (size_t i = 0; i < existing_; ++i) was_empty_[i] = slots_[i].empty;
 }
 
@@ -174,11 +175,13 @@
   const auto slots_before = slots_;
   const auto team_before = team_used_[request.spec.team];
   const CapacityPlan plan_before = plan;
+  const auto slots_of_before = slots_of_;
   for (uint32_t i = 0; i < tasks; ++i) {
     if (put(request, zones, plan)) continue;
     slots_ = slots_before;
     team_used_[request.spec.team] = team_before;
     plan.wants = plan_before.wants;
+    slots_of_ = slots_of_before;
     return false;
   }
   return true;
@@ -259,8 +262,7 @@
     if (fitting <= 0 || (spec.per_task.gpus == 0 && (t.size.gpus > 0) != with_gpus)) continue;
     for (const auto& zone : t.zones) {
       if (!zone_allowed(spec, zone, zones)) continue;
-      const auto in_zone = std::count_if(slots_.begin(), slots_.end(),
-                                         [&](const Slot& s) { return *s.zone == zone && s.type->name == t.name; });
+      const int in_zone = slots_of_[{t.name, zone}];
       for (const bool spot : {false, true}) {
         if (!kind_allowed(spec, spot) || (request.spot_only && !spot)) continue;
         const MachineKind candidate{t.name, zone, spot};
@@ -289,6 +291,7 @@
   slots_.push_back(slot);
   auto want = std::find_if(plan.wants.begin(), plan.wants.end(),
                            [&](const MachineWant& w) { return w.part == part_ && w.kind == kind; });
+  ++slots_of_[{type->name, kind.zone}];
   if (want == plan.wants.end()) want = plan.wants.insert(plan.wants.end(), MachineWant{part_, kind});
   ++(request.urgent ? want->urgent : want->spare);
   if (request.urgent) want->rank = std::max(want->rank, request.spec.rank);
--- a/src/coordination/capacity_planner.h
+++ b/src/coordination/capacity_planner.h
@@ -113,11 +113,12 @@
   int part_ = 0;
   const std::set<std::string>* without_ = nullptr;
   std::vector<Slot> slots_;
-  size_t existing_ = 0;                             // the first slots_: machines that exist or were asked for
-  std::vector<bool> was_empty_;                     // of these
-  std::map<std::string, store::Resources> used_;    // by machine
-  std::set<std::string> pinned_;                    // machines with work that may not be preempted
-  std::map<std::string, TaskCounts> placed_tasks_;  // by class
+  std::map<std::pair<std::string, std::string>, int> slots_of_;  // number by type and zone
+  size_t existing_ = 0;                                          // the first slots_: machines that exist or were asked for
+  std::vector<bool> was_empty_;                                  // of these
+  std::map<std::string, store::Resources> used_;                 // by machine
+  std::set<std::string> pinned_;                                 // machines with work that may not be preempted
+  std::map<std::string, TaskCounts> placed_tasks_;               // by class
   std::map<std::string, store::Resources> team_used_;
   std::vector<const store::JobRecord*> waiting_;
   Fit fit_;
--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -57,10 +57,17 @@
  public:
   using Handler = std::function<void(CallDone&&)>;
   Context(const store::Settings& s, const store::OperatorSettings& o, std::string incarnation_name, uint64_t seed)
-      : settings(s), operators(o), tune(s), incarnation(std::move(incarnation_name)), rng(seed) {}
+      : settings(s), operators(o), tune(s), incarnation(std::move(incarnation_name)), rng(seed) {
+    for (size_t i = 0; i < settings.teams.size(); ++i) teams_.emplace(settings.teams[i].name, i);
+  }
 
   const store::Settings settings;
   const store::OperatorSettings operators;
+  /// A team's settings; none for a name that the settings don't have.
+  const store::TeamSettings* team(const std::string& name) const {
+    const auto it = teams_.find(name);
+    return it == teams_.end() ? nullptr : &settings.teams[it->second];
+  }
   const Tunables tune;
   const std::string incarnation;
   std::mt19937_64 rng;
@@ -102,6 +109,7 @@
   }
 
  private:
+  std::unordered_map<std::string, size_t> teams_;  // places in the settings
   CallId last_call_ = 0;
   std::unordered_map<CallId, Handler> handlers_;
   std::map<std::string, double> complained_;
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -153,6 +153,8 @@
   void hold_for(const OwnedJob& j);
   bool within_limit_whole(const OwnedJob& j) const;
   void end_hold(int part);
+  void schedule_job(OwnedJob& j, std::vector<Slot>& open_slots, std::set<std::string>& without_room);
+  double team_load(const std::string& team);
   PlannedRoom room_for_gang(const OwnedJob& j, uint32_t need, std::vector<Slot>& slots) const;
   bool place_some(const std::string& id, OwnedJob& j, std::vector<Slot>& slots, bool& no_room);
   std::vector<OwnedJob*> waiting(int part);
--- a/src/coordination/owner_scheduling.cpp
+++ b/src/coordination/owner_scheduling.cpp
@@ -76,14 +76,12 @@
 }
 
 bool Owner::within_limit(const std::string& team, const store::Resources& more) const {
-  for (const auto& t : ctx_.settings.teams) {
-    if (t.name != team) continue;
-    store::Resources used = more;
-    const auto it = team_used_.find(team);
-    if (it != team_used_.end()) used.add(it->second);
-    return used.cpus <= t.limit.cpus + store::Resources::kSlack && used.gpus <= t.limit.gpus + store::Resources::kSlack;
-  }
-  return false;
+  const auto* t = ctx_.team(team);
+  if (!t) return false;
+  store::Resources used = more;
+  const auto it = team_used_.find(team);
+  if (it != team_used_.end()) used.add(it->second);
+  return used.cpus <= t->limit.cpus + store::Resources::kSlack && used.gpus <= t->limit.gpus + store::Resources::kSlack;
 }
 
 namespace {
@@ -330,52 +328,57 @@
   for (OwnedJob* j : jobs) queues[j->cur.spec.team].push_back(j);
   std::map<std::string, size_t> next;
   auto open_slots = slots(part);
-  const auto load = [&](const std::string& team) {
-    const auto& used = team_used_[team];
-    double share = 1;
-    for (const auto& [name, s] : ctx_.operators.team_shares)
-      if (name == team) share = s;
-    for (const auto& t : ctx_.settings.teams)
-      if (t.name == team)
-        return std::max(t.guarantee.cpus > 0 ? used.cpus / t.guarantee.cpus : 0,
-                        t.guarantee.gpus > 0 ? used.gpus / t.guarantee.gpus : 0) /
-               share;
-    return 1e9;
-  };
+  std::set<std::pair<double, std::string>> turns;  // load and name of those with jobs left
+  for (const auto& [name, queue] : queues) turns.emplace(team_load(name), name);
   // Placement classes that did not fit in this pass need not be tried again.
   std::set<std::string> without_room;
-  for (;;) {
-    const std::string* team = nullptr;
-    for (const auto& [name, queue] : queues)
-      if (next[name] < queue.size() && (!team || load(name) < load(*team))) team = &name;
-    if (!team) return;
-    OwnedJob& j = *queues[*team][next[*team]++];
-    const auto& s = j.cur.spec;
-    const std::string& id = s.id;
-    const std::string placement_class = placement_class_of(j);
-    if (!placement_class.empty() && without_room.count(placement_class)) continue;
-    // Room promised to this job counts for it.
-    bool promised = false;
+  while (!turns.empty()) {
+    const std::string team = turns.extract(turns.begin()).value().second;
+    const auto& queue = queues[team];
+    OwnedJob& j = *queue[next[team]++];
+    schedule_job(j, open_slots, without_room);
+    if (next[team] < queue.size()) turns.emplace(team_load(team), team);
+  }
+}
+
+// What the team uses, as a part of its guarantee and by its share.
+double Owner::team_load(const std::string& team) {
+  const auto* t = ctx_.team(team);
+  if (!t) return 1e9;
+  const auto& used = team_used_[team];
+  double share = 1;
+  for (const auto& [name, s] : ctx_.operators.team_shares)
+    if (name == team) share = s;
+  return std::max(t->guarantee.cpus > 0 ? used.cpus / t->guarantee.cpus : 0,
+                  t->guarantee.gpus > 0 ? used.gpus / t->guarantee.gpus : 0) /
+         share;
+}
+
+void Owner::schedule_job(OwnedJob& j, std::vector<Slot>& open_slots, std::set<std::string>& without_room) {
+  const std::string& id = j.cur.spec.id;
+  const std::string placement_class = placement_class_of(j);
+  if (!placement_class.empty() && without_room.count(placement_class)) return;
+  // Room promised to this job counts for it.
+  bool promised = false;
+  for (const auto& p : promises_)
+    if (p.job == id) {
+      promised = true;
+      for (auto& slot : open_slots)
+        if (slot.machine == p.machine) slot.free.add(p.room);
+    }
+  if (promised) std::erase_if(promises_, [&](const Promise& p) { return p.job == id && machine(p.machine) == nullptr; });
+  // A record that is full, or a write that is, says nothing of the jobs of the same class behind this one.
+  bool no_room = false;
+  const bool placed = place_some(id, j, open_slots, no_room);
+  if (promised && placed) {
+    std::erase_if(promises_, [&](const Promise& p) { return p.job == id; });
+  } else if (promised) {
     for (const auto& p : promises_)
-      if (p.job == id) {
-        promised = true;
+      if (p.job == id)
         for (auto& slot : open_slots)
-          if (slot.machine == p.machine) slot.free.add(p.room);
-      }
-    if (promised) std::erase_if(promises_, [&](const Promise& p) { return p.job == id && machine(p.machine) == nullptr; });
-    // A record that is full, or a write that is, says nothing of the jobs of the same class behind this one.
-    bool no_room = false;
-    const bool placed = place_some(id, j, open_slots, no_room);
-    if (promised && placed) {
-      std::erase_if(promises_, [&](const Promise& p) { return p.job == id; });
-    } else if (promised) {
-      for (const auto& p : promises_)
-        if (p.job == id)
-          for (auto& slot : open_slots)
-            if (slot.machine == p.machine) slot.free.add(p.room, -1);
-    }
-    if (!placed && no_room && !placement_class.empty()) without_room.insert(placement_class);
+          if (slot.machine == p.machine) slot.free.add(p.room, -1);
   }
 }
+  if (!placed && no_room && !placement_class.empty()) without_room.insert(placement_class);
 
 }  // namespace rushtrestle::coordination
