--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -60,7 +60,7 @@
                    {"record_format", model_.record_format()},
                    {"controllers", members_.versions()}};
   j["process"] = {{"lag_s", ctx_.lag}, {"cpu_s", ctx_.load.cpu_s}, {"memory_mb", ctx_.load.memory_mb}};
-  j["known_jobs"] = model_.jobs().size();
+  j["known_jobs"] = model_.known_jobs();
   j["owner"] = owner_.stats();
   j["counters"] = ctx_.counters;
   return j;
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -130,6 +130,8 @@
 void Owner::rebase(const std::string& id) {
   OwnedJob* j = job(id);
   const auto* durable = model_.job(id);
+  // Over, and without a machine: what was planned here since can't become durable any more.
+  if (model_.finished_job(id)) drop_job(id);
   if (!j || !durable) return;
   for (const auto& p : j->cur.placed) index(j->cur, p, -1);
   j->cur = durable->record;
@@ -314,6 +316,8 @@
 // and only one of the two is carried out; until then nothing is started (start_absent).
 void Owner::settle_by_writing(OwnedJob& j, uint64_t stamp) {
   j.unsettled_stamp = stamp;
+      owned = job(id);
+      if (!owned) return;
   mark(j.cur.spec.id, WritePriority::placement);
 }
 
--- a/src/coordination/owner_scheduling.cpp
+++ b/src/coordination/owner_scheduling.cpp
@@ -118,7 +118,8 @@
   std::vector<Entry> entries;
   for (const auto& id : pending_) {
     OwnedJob& j = jobs_.at(id);
-    if (j.part != part || ctx_.now < j.retry_at || model_.job(id)->record.status != JobStatus::open) continue;
+    const auto* durable = model_.job(id);
+    if (j.part != part || ctx_.now < j.retry_at || !durable || durable->record.status != JobStatus::open) continue;
     const int group = order_group(j.cur);
     entries.push_back({j.cur.spec.rank, group, j.cur.submitted + (group == 1 ? j.cur.spec.deadline_s.value_or(0) : 0), &j});
   }
--- a/src/coordination/users.cpp
+++ b/src/coordination/users.cpp
@@ -15,6 +15,8 @@
   if (const auto* job = id.empty() ? nullptr : model_.job(id)) {
     const auto& rec = job->record;
     a.job = JobView{id, rec.status, rec.done.size(), rec.status == JobStatus::open ? rec.running() : 0};
+  } else if (const auto* finished = model_.finished_job(id)) {
+    a.job = JobView{id, finished->status, finished->tasks_done, 0};
   }
   ctx_.out.push_back(std::move(a));
 }
@@ -26,12 +28,16 @@
 
 // A final state never changes, so even an old model tells it rightly.
 bool Users::answer_if_final(RequestId r, const std::string& id) {
-  const auto* job = model_.job(id);
-  if (!job || !job->record.final_state()) return false;
+  if (!final_state(id)) return false;
   answer(r, 200, id);
   return true;
 }
 
+bool Users::final_state(const std::string& id) const {
+  const auto* live = model_.job(id);
+  return model_.finished_job(id) || (live && live->record.final_state());
+}
+
 // A process over its limit is killed, and with it all that it was about to do.
 bool Users::near_memory_limit() const {
   constexpr double kNear = 0.85;
@@ -63,7 +69,7 @@
   const std::string id = s.spec.id;
   if (answer_if_final(s.request, id)) return;
   if (link_.in_doubt() || model_.types().empty()) return refuse(s.request, 1);
-  if (model_.job(id)) {
+  if (model_.knows_job(id)) {
     const RequestId r = s.request;
     link_.prove([this, r, id](bool ok) { ok ? answer(r, 200, id) : refuse(r, 1); });
     return;
@@ -73,7 +79,7 @@
     const RequestId r = s.request;
     link_.prove([this, r, id](bool ok) {
       if (!ok) return refuse(r, 1);
-      model_.job(id) ? answer(r, 200, id) : answer(r, 422);
+      model_.knows_job(id) ? answer(r, 200, id) : answer(r, 422);
     });
     return;
   }
@@ -93,7 +99,7 @@
   w.key = store::job_key(id);
   w.prepare = [this, r, id](Prepared& p) {
     const auto it = pending_.find(r);
-    if (it == pending_.end() || model_.job(id)) return false;
+    if (it == pending_.end() || model_.knows_job(id)) return false;
     JobRecord record;
     record.spec = it->second.spec;
     record.submitted = ctx_.wall;
@@ -104,7 +110,7 @@
   w.done = [this, r, id](WriteOutcome outcome, uint64_t) {
     if (outcome == WriteOutcome::applied) return settle(r, 201);
     // Known by now: accepted through another request of the same user.
-    if (outcome != WriteOutcome::refused && model_.job(id)) {
+    if (outcome != WriteOutcome::refused && model_.knows_job(id)) {
       link_.prove([this, r](bool ok) { settle(r, ok ? 200 : 503); });
       return;
     }
@@ -133,7 +139,7 @@
   }
   link_.prove([this, r = q.request, id = q.id](bool ok) {
     if (!ok) return refuse(r, 1);
-    model_.job(id) ? answer(r, 200, id) : answer(r, 404);
+    model_.knows_job(id) ? answer(r, 200, id) : answer(r, 404);
   });
 }
 
@@ -141,10 +147,10 @@
   ctx_.counters["cancellations"]++;
   if (answer_if_final(c.request, c.id)) return;
   if (link_.in_doubt()) return refuse(c.request, 1);
-  if (!model_.job(c.id)) {
+  if (!model_.knows_job(c.id)) {
     link_.prove([this, c](bool ok) {
       if (!ok) return refuse(c.request, 1);
-      if (!model_.job(c.id)) return answer(c.request, 404);
+      if (!model_.knows_job(c.id)) return answer(c.request, 404);
       cancel(c);
     });
     return;
@@ -195,8 +201,7 @@
 
 void Users::cancel_written(RequestId r, const std::string& id, WriteOutcome outcome) {
   if (!pending_.count(r)) return;
-  const auto* durable = model_.job(id);
-  if (durable && durable->record.final_state()) return settle(r, 200);
+  if (final_state(id)) return settle(r, 200);
   const bool again =
       outcome == WriteOutcome::conflict || outcome == WriteOutcome::unsettled || outcome == WriteOutcome::skipped;
   if (again && !link_.in_doubt()) return write_cancel(r);
--- a/src/coordination/users.h
+++ b/src/coordination/users.h
@@ -31,6 +31,7 @@
   };
   void answer(RequestId r, int status, const std::string& id = "");
   void refuse(RequestId r, double retry_after_s);
+  bool final_state(const std::string& id) const;
   bool answer_if_final(RequestId r, const std::string& id);
   bool near_memory_limit() const;
   bool can_ever_run(const store::JobSpec& s) const;
