--- a/bench/scale/run.cpp
+++ b/bench/scale/run.cpp
@@ -170,6 +170,7 @@
   still_to_collect_ = controller_stats_.size() + 1;
   const auto got = [this](Json& into, const std::string& body) {
     into = Json::parse(body, nullptr, false);
+    if (into.is_discarded()) into = nullptr;  // no answer
     if (--still_to_collect_ == 0) loop_.stop();
   };
   get(kStateAddress, "/counters", [this, got](int, const std::string& body) { got(state_counters_, body); });
--- a/src/coordination/capacity_planner.cpp
+++ b/src/coordination/capacity_planner.cpp
@@ -20,9 +20,10 @@
 
 bool can_move(const store::JobSpec& spec) { return spec.kind == JobKind::service || spec.checkpoint_s > 0; }
 
-bool overdue(const MachineRecord& machine, const store::Model& model, double wall) {
+bool overdue(const MachineRecord& machine, const store::Model& model, const std::set<std::string>* up, double wall) {
   const auto* type = model.type(machine.type);
-  return type && machine.address.empty() && wall - machine.since > type->boot_s * Tunables::kBootUsual;
+  const bool came_up = !machine.address.empty() || (up && up->count(machine.id) != 0);
+  return type && !came_up && wall - machine.since > type->boot_s * Tunables::kBootUsual;
 }
 
 bool CapacityPlanner::preemptible(const store::JobSpec& spec) const {
@@ -117,7 +118,8 @@
 void CapacityPlanner::add_slots() {
   slots_.clear();
   for (const auto& [id, m] : model_.machines())
-    if (m.record.part == part_ && m.record.usable() && !without_->count(id) && !overdue(m.record, model_, ctx_.wall))
+    if (m.record.part == part_ && m.record.usable() && !without_->count(id) &&
+        !overdue(m.record, model_, outlook_.up, ctx_.wall))
       add_slot(m.record);
   for (const auto& m : outlook_.rented)
     if (m.part == part_ && !model_.machine(m.id)) add_slot(m);
@@ -125,10 +127,10 @@
     for (const auto& kind : requested->second)
       if (const auto* type = model_.type(kind.type))
         slots_.push_back({"", type, shared_zone(*type, kind.zone), kind.spot, type->size, true});
-  existing_ = slots_.size();
-  was_empty_.assign(existing_, false);
   slots_of_.clear();
   for (const auto& slot : slots_) ++slots_of_[{slot.type->name, *slot.zone}];
+  existing_ = slots_.size();
+  was_empty_.assign(existing_, false);
   for (size_t i = 0; i < existing_; ++i) was_empty_[i] = slots_[i].empty;
 }
 
@@ -173,15 +175,15 @@
 // All of them, or nothing is taken and nothing wanted.
 bool CapacityPlanner::put_all(const Request& request, ZoneCounts zones, uint32_t tasks, CapacityPlan& plan) {
   const auto slots_before = slots_;
+  const auto slots_of_before = slots_of_;
   const auto team_before = team_used_[request.spec.team];
   const CapacityPlan plan_before = plan;
-  const auto slots_of_before = slots_of_;
   for (uint32_t i = 0; i < tasks; ++i) {
     if (put(request, zones, plan)) continue;
     slots_ = slots_before;
+    slots_of_ = slots_of_before;
     team_used_[request.spec.team] = team_before;
     plan.wants = plan_before.wants;
-    slots_of_ = slots_of_before;
     return false;
   }
   return true;
@@ -289,9 +291,9 @@
   Slot slot{"", type, &*zone, kind.spot, type->size, true};
   slot.free.add(request.spec.per_task, -1);
   slots_.push_back(slot);
+  ++slots_of_[{type->name, kind.zone}];
   auto want = std::find_if(plan.wants.begin(), plan.wants.end(),
                            [&](const MachineWant& w) { return w.part == part_ && w.kind == kind; });
-  ++slots_of_[{type->name, kind.zone}];
   if (want == plan.wants.end()) want = plan.wants.insert(plan.wants.end(), MachineWant{part_, kind});
   ++(request.urgent ? want->urgent : want->spare);
   if (request.urgent) want->rank = std::max(want->rank, request.spec.rank);
--- a/src/coordination/capacity_planner.h
+++ b/src/coordination/capacity_planner.h
@@ -48,13 +48,15 @@
   std::set<MachineKind> refused;                      // not to be had at present
   std::vector<store::MachineRecord> rented;           // whose records are not durable yet
   std::map<int, std::vector<MachineKind>> requested;  // by part: asked for, without an answer
+  const std::set<std::string>* up = nullptr;          // machines that the cloud lists as running
 };
 
 /// May a task of this job be stopped without loss of work?
 bool can_move(const store::JobSpec& spec);
 
 /// A machine that should have come up by now: it may never do so, and does not count as capacity.
-bool overdue(const store::MachineRecord& machine, const store::Model& model, double wall);
+/// Its record may get its address late, so what the cloud says counts, too (`up`).
+bool overdue(const store::MachineRecord& machine, const store::Model& model, const std::set<std::string>* up, double wall);
 
 class CapacityPlanner {
  public:
--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -31,13 +31,14 @@
 void Core::machine_changed(const std::string& id) { owner_.machine_changed(id); }
 void Core::holder_changed(const std::string& key) { members_.holder_changed(key); }
 
-PeerState Core::own_state() const {
+PeerState Core::own_state() {
   PeerState s;
   s.node = ctx_.settings.node;
   s.incarnation = ctx_.incarnation;
   s.has_state = link_.lease_valid() && !link_.in_doubt();
   s.synced = link_.synced();
   s.backlog = link_.backlog();
+  s.budget_need = link_.need();
   for (int p = 0; p < members_.parts(); ++p)
     if (members_.held(p) != 0) s.parts.push_back(p);
   s.heard = owner_.heard_of_other_parts();
@@ -51,14 +52,10 @@
 }
 
 store::Json Core::stats() {
-  store::Json j = {{"node", ctx_.settings.node},
-                   {"revision", model_.revision()},
-                   {"leading", members_.leading()},
-                   {"state_lease", link_.lease_valid()},
-                   {"write_backlog", link_.backlog()},
-                   {"version", program_version()},
-                   {"record_format", model_.record_format()},
-                   {"controllers", members_.versions()}};
+  store::Json j = {
+      {"node", ctx_.settings.node},         {"revision", model_.revision()},           {"leading", members_.leading()},
+      {"state_lease", link_.lease_valid()}, {"write_backlog", link_.backlog()},        {"writes", link_.stats()},
+      {"version", program_version()},       {"record_format", model_.record_format()}, {"controllers", members_.versions()}};
   j["process"] = {{"lag_s", ctx_.lag}, {"cpu_s", ctx_.load.cpu_s}, {"memory_mb", ctx_.load.memory_mb}};
   j["known_jobs"] = model_.known_jobs();
   j["owner"] = owner_.stats();
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -26,7 +26,7 @@
   void job_changed(const std::string& id) override;
   void machine_changed(const std::string& id) override;
   void holder_changed(const std::string& key) override;
-  PeerState own_state() const;
+  PeerState own_state();
   store::Json stats();
   void take(Command&& command);
   void measure_lag();
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -22,6 +22,7 @@
   next_share_ = ctx_.now + ctx_.operators.share_period_s;
   rentals_.clear();
   fresh_.clear();
+  up_.clear();
   refused_.clear();
   idle_since_.clear();
   offered_at_.clear();
@@ -141,6 +142,7 @@
 
 void Leader::listed(const std::vector<CloudMachine>& machines) {
   for (const auto& c : machines) {
+    if (c.state == CloudMachine::State::running) up_.insert(c.id);
     const auto* known = model_.machine(c.id);
     if (!known && !fresh_.count(c.id)) {
       // An answer that names it may still be under way to us.
@@ -171,6 +173,7 @@
     } else if (known && c.state == CloudMachine::State::failed && !known->record.doomed()) {
       WriteRequest w;
       w.key = store::machine_key(c.id);
+      w.cause = WriteCause::machine_condemned;
       w.prepare = [this, id = c.id](Prepared& p) {
         const auto* m = model_.machine(id);
         if (!m || m->record.doomed() || !members_.leading()) return false;
@@ -191,6 +194,7 @@
   fresh_[r.id] = r;
   WriteRequest w;
   w.key = store::machine_key(r.id);
+  w.cause = WriteCause::machine_rented;
   w.prepare = [this, id = r.id](Prepared& p) {
     const auto it = fresh_.find(id);
     if (it == fresh_.end() || model_.machine(id) || !members_.leading()) return false;
@@ -226,10 +230,15 @@
     }
     for (const auto& id : ids) {
       deleted_.insert(id);
+      up_.erase(id);
       // What we gave back can be had again.
       if (const auto* m = model_.machine(id)) refused_.erase(kind_of(m->record));
       WriteRequest w;
       w.key = store::machine_key(id);
+      // Work may wait for what ran on a condemned machine; a released one was empty.
+      const auto* doomed = model_.machine(id);
+      const bool empty = doomed && doomed->record.phase == MachinePhase::released;
+      w.cause = empty ? WriteCause::machine_given_back : WriteCause::machine_gone;
       w.prepare = [this, id](Prepared& p) {
         const auto* m = model_.machine(id);
         if (!m || m->record.phase == MachinePhase::gone || !m->record.doomed() || !members_.leading()) return false;
@@ -252,7 +261,7 @@
   offered_at_[machine] = ctx_.now;
   WriteRequest w;
   w.key = store::machine_key(machine);
-  w.priority = WritePriority::end;
+  w.cause = WriteCause::machine_offer;
   w.prepare = [this, machine, next_part, drain](Prepared& p) {
     const auto* m = model_.machine(machine);
     if (!m || !m->record.usable() || !members_.leading()) return false;
@@ -347,6 +356,7 @@
   for (const auto& [kind, refusal] : refused_)
     if (ctx_.now < refusal.until) outlook.refused.insert(kind);
   for (const auto& [id, m] : fresh_) outlook.rented.push_back(m);
+  outlook.up = &up_;
   for (const auto& rental : rentals_)
     for (const int part : rental.parts) outlook.requested[part].push_back(rental.kind);
   return outlook;
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -83,6 +83,7 @@
   std::vector<store::MachineType> prices_;
   std::vector<Rental> rentals_;
   std::map<std::string, store::MachineRecord> fresh_;  // rented, record not durable yet
+  std::set<std::string> up_;                           // listed as running since we lead
   std::map<MachineKind, Refused> refused_;
   std::map<std::string, double> idle_since_;
   std::map<std::string, double> offered_at_;
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "coordination/version.h"
+#include "coordination/writes/budget_share.h"
 
 namespace rushtrestle::coordination {
 
@@ -200,19 +201,7 @@
 void Membership::tick() {
   for (auto& p : peers_)
     if (!p.telling && ctx_.now >= p.next_tell) tell(p);
-  // The budget follows the work: a node with a backlog takes what idle peers leave.
-  const auto weight = [](double backlog) { return 1 + std::min(backlog, 20.0); };
-  // A peer that we don't hear, but that holds a part, is alive behind refused connections and spends, too: with
-  // each node taking the whole budget for its own, all of them were refused for the rate.
-  double total = weight(link_.backlog());
-  for (const auto& p : peers_) {
-    if (fresh(p)) {
-      total += weight(p.state.backlog);
-    } else if (holds_a_part(p.settings.node)) {
-      total += weight(link_.backlog());
-    }
-  }
-  link_.set_weight(weight(link_.backlog()) / total);
+  divide_budget();
 
   // Work begins once the model covers all that earlier owners wrote: a job's end
   // noticed before that could not be written, and was lost.
@@ -232,6 +221,25 @@
   for (const auto& [part, stamp] : std::map<int, uint64_t>(held_)) hand_back(part);
 }
 
+// The budget follows the work: who needs more takes what others leave.
+void Membership::divide_budget() {
+  const double even = 1.0 / static_cast<double>(nodes_.size());
+  const double least = even * Tunables::kIdleShare;
+  std::vector<double> others;
+  for (const auto& p : peers_) {
+    if (fresh(p)) {
+      // A version that does not tell its need takes by its backlog, and reckons with others that do the same.
+      const double told = p.state.budget_need.value_or(even * (1 + std::min(p.state.backlog, 20.0)) / 2);
+      others.push_back(std::max(least, told));
+    } else if (holds_a_part(p.settings.node)) {
+      // We don't hear it, but it is alive behind refused connections and spends, too: with each controller taking the
+      // whole budget for its own, all of them were refused for the rate.
+      others.push_back(std::max(even, link_.need()));
+    }
+  }
+  link_.set_weight(fair_share(std::max(least, link_.need()), std::move(others)));
+}
+
 double Membership::next_due() const {
   if (!absent_since_.empty()) return ctx_.now;  // a key to claim: every moment may count
   double due = kNoDueTime;
@@ -263,6 +271,7 @@
   claiming_[key] = true;
   WriteRequest w;
   w.key = key;
+  w.cause = WriteCause::holder;
   w.prepare = [this, key, expected](Prepared& p) {
     if (model_.stamp_of(key) != expected) return false;
     p.expected = expected;
@@ -317,6 +326,7 @@
   ctx_.info("handing part " + std::to_string(part) + " back to " + home);
   WriteRequest w;
   w.key = key;
+  w.cause = WriteCause::holder;
   w.prepare = [this, part](Prepared& prepared) {
     prepared.expected = held(part);
     return prepared.expected != 0;
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -68,6 +68,7 @@
   bool fresh(const Peer& p) const { return ctx_.now - p.heard_at < ctx_.tune.peer_fresh_s; }
   const Peer* peer(const std::string& node) const;
   void tell(Peer& p);
+  void divide_budget();
   void take_over(Peer& p, const PeerState& said, double asked_at);
   double covered_until() const;
   bool knows_cancellations() const;
--- a/src/coordination/messages.h
+++ b/src/coordination/messages.h
@@ -80,6 +80,7 @@
   std::optional<Handover> handover;     // answering
   std::string version;                  // of its program, for operators
   uint64_t record_format = 0;           // the newest that it reads
+  std::optional<double> budget_need;    // of the budget of puts at the state service, as a part of the whole
 };
 
 // ---- commands ----
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -116,7 +116,7 @@
     if (const auto* m = model_.machine(p.machine); m && m->record.phase == MachinePhase::gone) gone.push_back(p.task);
   if (gone.empty()) return;
   for (const uint32_t t : gone) lose_member(*j, t);
-  mark(id, WritePriority::placement);
+  mark(id, WriteCause::placement);
 }
 
 void Owner::drop_job(const std::string& id) {
@@ -205,6 +205,7 @@
     m->wanted = true;
   }
   m->part = durable->record.part;
+  if (m->address.empty()) m->address = durable->record.address;
   machines_to_command_.insert(id);
   want_schedule_ = true;
 }
@@ -254,16 +255,27 @@
   if (!gathering) end_attempt(j.cur);
 }
 
-void Owner::mark(const std::string& id, WritePriority priority) {
+// Somebody waits for a job to be done, and the end of a gang's attempt must not be unknown to the next owner. Other ends
+// wait for more of the same record: the worker keeps what has ended until the end is durable, so nothing is lost with us.
+WriteCause Owner::cause_of_end(const OwnedJob& j) const {
+  if (j.cur.status == JobStatus::done) return WriteCause::job_done;
+  return j.cur.spec.kind == JobKind::gang ? WriteCause::gang_phase : WriteCause::task_end;
+}
+
+void Owner::mark(const std::string& id, WriteCause cause) {
   OwnedJob* j = job(id);
   if (!j) return;
   spread_stop(j->cur);
   ++j->version;
+  link_.ledger().change(cause);
+  const WritePriority priority = priority_of(cause);
   if (j->queued_priority && *j->queued_priority <= priority) return;
   j->queued_priority = priority;
   WriteRequest w;
   w.key = store::job_key(id);
-  w.priority = priority;
+  w.cause = cause;
+  w.rank = j->cur.spec.rank;
+  w.team = j->cur.spec.team;
   w.prepare = [this, id](Prepared& p) {
     OwnedJob* owned = job(id);
     const auto* durable = model_.job(id);
@@ -304,6 +316,8 @@
       if (outcome == WriteOutcome::refused) owned->retry_at = ctx_.now + ctx_.settings.lease_s;
       command_machines_of(*owned);
       rebase(id);
+      owned = job(id);
+      if (!owned) return;
       command_machines_of(*owned);
       if (outcome == WriteOutcome::unsettled) settle_by_writing(*owned, stamp);
     }
@@ -316,9 +330,7 @@
 // and only one of the two is carried out; until then nothing is started (start_absent).
 void Owner::settle_by_writing(OwnedJob& j, uint64_t stamp) {
   j.unsettled_stamp = stamp;
-      owned = job(id);
-      if (!owned) return;
-  mark(j.cur.spec.id, WritePriority::placement);
+  mark(j.cur.spec.id, WriteCause::placement);
 }
 
 // What is durable now may be started, stopped or, where tasks have left, forgotten.
@@ -328,13 +340,13 @@
   j.left.clear();
 }
 
-void Owner::write_machine(const std::string& id, WritePriority priority, std::function<bool(MachineRecord&)> change) {
+void Owner::write_machine(const std::string& id, WriteCause cause, std::function<bool(MachineRecord&)> change) {
   Machine* m = machine(id);
   if (!m || m->writing) return;
   m->writing = true;
   WriteRequest w;
   w.key = store::machine_key(id);
-  w.priority = priority;
+  w.cause = cause;
   w.prepare = [this, id, change = std::move(change)](Prepared& p) {
     const Machine* mine = machine(id);
     const auto* durable = model_.machine(id);
@@ -411,7 +423,7 @@
     next_schedule_ = ctx_.now + ctx_.settings.report_s / 50;
     for (const int part : parts_)
       if (members_.held(part) != 0) schedule(part);
-    for (const auto& id : std::exchange(jobs_that_lost_tasks_, {})) mark(id, WritePriority::placement);
+    for (const auto& id : std::exchange(jobs_that_lost_tasks_, {})) mark(id, WriteCause::placement);
   }
   command_machines();
 }
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -67,6 +67,10 @@
     uint64_t session_when_deaf = 0;  // when direct commands began to fail
     uint64_t session = 0, seq = 0, token_seen = 0;
     bool known = false;  // reported to us
+    // As reported, or else by the record, which gets it when the budget allows. Who takes the part before that learns it
+    // from the worker's next report.
+    std::string address;
+    bool address_queued = false;
     std::vector<ReportedTask> reported;
     std::optional<double> notice_s;
     bool in_flight = false, wanted = false, condemning = false, writing = false;
@@ -107,10 +111,11 @@
   void place(OwnedJob& j, uint32_t task, const std::string& machine);
   void unplace(OwnedJob& j, uint32_t task);
   void lose_member(OwnedJob& j, uint32_t task);
-  void mark(const std::string& id, WritePriority priority);
+  void mark(const std::string& id, WriteCause cause);
+  WriteCause cause_of_end(const OwnedJob& j) const;
   void settle_by_writing(OwnedJob& j, uint64_t stamp);
   void machine_gone(const std::string& id);
-  void write_machine(const std::string& id, WritePriority priority, std::function<bool(store::MachineRecord&)> change);
+  void write_machine(const std::string& id, WriteCause cause, std::function<bool(store::MachineRecord&)> change);
 
   // workers
   ReportReply reply_to(const WorkerReport& report, bool relayed);
@@ -118,6 +123,7 @@
   bool keep_alive(RequestId request, const WorkerReport& report);
   std::vector<WorkerCommand> stops_of_cancelled(const WorkerReport& report) const;
   bool process(Machine& m, const WorkerReport& report);
+  void record_address(Machine& m);
   void check_sense(const WorkerReport& report);
   std::vector<WorkerCommand> reconcile(Machine& m, bool& has_start);
   void follow_task(OwnedJob& j, const ReportedTask& t, std::vector<WorkerCommand>& commands);
@@ -147,14 +153,14 @@
   uint32_t next_pending(const store::JobRecord& r, uint32_t from) const;
   std::string placement_class_of(const OwnedJob& j) const;
   void schedule(int part);
+  void schedule_job(OwnedJob& j, std::vector<Slot>& open_slots, std::set<std::string>& without_room);
+  double team_load(const std::string& team);
   bool place_gang(const std::string& id, OwnedJob& j, std::vector<Slot>& slots);
   bool all_gathering(const OwnedJob& j);
   const GangHold* hold_against(const OwnedJob& j) const;
   void hold_for(const OwnedJob& j);
   bool within_limit_whole(const OwnedJob& j) const;
   void end_hold(int part);
-  void schedule_job(OwnedJob& j, std::vector<Slot>& open_slots, std::set<std::string>& without_room);
-  double team_load(const std::string& team);
   PlannedRoom room_for_gang(const OwnedJob& j, uint32_t need, std::vector<Slot>& slots) const;
   bool place_some(const std::string& id, OwnedJob& j, std::vector<Slot>& slots, bool& no_room);
   std::vector<OwnedJob*> waiting(int part);
--- a/src/coordination/owner_health.cpp
+++ b/src/coordination/owner_health.cpp
@@ -16,7 +16,7 @@
   silence_.clear();
   for (const auto& [id, m] : machines_) {
     const auto* r = model_.machine(id);
-    if (!r || r->record.address.empty()) continue;
+    if (!r || m.address.empty()) continue;
     auto& zone = silence_[r->record.zone];
     ++zone.machines;
     if (!reports(m)) ++zone.silent;
@@ -34,7 +34,7 @@
   m.condemning = true;
   ctx_.counters["machines_condemned"]++;
   ctx_.info("machine " + m.id + " condemned: " + why);
-  write_machine(m.id, WritePriority::request, [](MachineRecord& r) {
+  write_machine(m.id, WriteCause::machine_condemned, [](MachineRecord& r) {
     r.phase = MachinePhase::condemned;
     return true;
   });
@@ -44,7 +44,7 @@
   const auto* record = model_.machine(m.id);
   if (!record || record->record.doomed()) return;
   if (m.quarantined && m.placed.empty()) return condemn(m, "faulty");
-  if (record->record.address.empty()) {
+  if (m.address.empty()) {
     const auto* type = model_.type(record->record.type);
     const double patience = (type ? type->boot_s : ctx_.settings.lease_s) * Tunables::kBootPatience + ctx_.settings.lease_s;
     if (ctx_.wall - record->record.since > patience && ctx_.now - m.since > ctx_.settings.lease_s)
@@ -100,10 +100,10 @@
             p.stopping = true;
             changed.insert(key.first);
           }
-    for (const auto& id : changed) mark(id, WritePriority::placement);
+    for (const auto& id : changed) mark(id, WriteCause::stop);
     return;
   }
-  write_machine(m.id, WritePriority::end, [this, empty, id = m.id](MachineRecord& r) {
+  write_machine(m.id, WriteCause::machine_settled, [this, empty, id = m.id](MachineRecord& r) {
     if (r.phase != MachinePhase::offered) return false;
     const Machine* mine = machine(id);
     r.drain = false;
--- a/src/coordination/owner_requeue.cpp
+++ b/src/coordination/owner_requeue.cpp
@@ -121,7 +121,7 @@
   ctx_.info("requeue committed: " + victim.cur.spec.id + " makes room for " + contender.cur.spec.id);
   victim.cur.not_before = ctx_.wall + ctx_.operators.requeue_delay_s;
   for (auto& p : victim.cur.placed) p.stopping = true;
-  mark(victim.cur.spec.id, WritePriority::placement);
+  mark(victim.cur.spec.id, WriteCause::stop);
   for (const auto& [machine_id, room] : used)
     promises_.push_back({contender.cur.spec.id, machine_id, room, ctx_.now + ctx_.settings.lease_s});
 }
--- a/src/coordination/owner_scheduling.cpp
+++ b/src/coordination/owner_scheduling.cpp
@@ -258,7 +258,7 @@
   }
   update_pending(j);
   ctx_.counters["placements"]++;
-  mark(id, WritePriority::placement);
+  mark(id, WriteCause::placement);
   return true;
 }
 
@@ -292,7 +292,7 @@
   if (any) {
     update_pending(j);
     ctx_.counters["placements"]++;
-    mark(id, WritePriority::placement);
+    mark(id, WriteCause::placement);
   }
   return any;
 }
@@ -379,7 +379,7 @@
         for (auto& slot : open_slots)
           if (slot.machine == p.machine) slot.free.add(p.room, -1);
   }
-}
   if (!placed && no_room && !placement_class.empty()) without_room.insert(placement_class);
+}
 
 }  // namespace rushtrestle::coordination
--- a/src/coordination/owner_workers.cpp
+++ b/src/coordination/owner_workers.cpp
@@ -157,20 +157,39 @@
         if (p.task == key.second) p.stopping = true;
       changed.insert(key.first);
     }
-    for (const auto& id : changed) mark(id, WritePriority::placement);
+    for (const auto& id : changed) mark(id, WriteCause::stop);
   }
   m.notice_s = report.notice_s;
   const auto* record = model_.machine(m.id);
-  if (record && record->record.address != report.address) {
-    write_machine(m.id, WritePriority::request, [address = report.address](MachineRecord& r) {
-      if (r.address == address) return false;
-      r.address = address;
-      return true;
-    });
-  }
+  m.address = report.address;
+  if (record && record->record.address != m.address && !m.address_queued) record_address(m);
   return true;
 }
 
+// In a fleet that comes up at once these were a third of all writes, and work waited behind them.
+void Owner::record_address(Machine& m) {
+  m.address_queued = true;
+  WriteRequest w;
+  w.key = store::machine_key(m.id);
+  w.cause = WriteCause::machine_address;
+  w.prepare = [this, id = m.id](Prepared& p) {
+    Machine* mine = machine(id);
+    if (mine) mine->address_queued = false;
+    const auto* durable = model_.machine(id);
+    if (!mine || !durable || durable->record.doomed() || durable->record.address == mine->address) return false;
+    const uint64_t held = members_.held(durable->record.part);
+    if (held == 0) return false;
+    MachineRecord r = durable->record;
+    r.address = mine->address;
+    p.expected = durable->stamp;
+    p.value = to_json(r);
+    p.conditions.push_back({store::part_key(r.part), held});
+    return true;
+  };
+  w.done = [this, id = m.id](WriteOutcome, uint64_t) { machines_to_command_.insert(id); };
+  link_.write(std::move(w));
+}
+
 void Owner::task_ended(Machine& m, OwnedJob& j, const ReportedTask& t) {
   constexpr int kFree = 3;
   const std::string id = j.cur.spec.id;
@@ -215,7 +234,7 @@
   }
   if (j.cur.status == JobStatus::open && j.cur.spec.kind != JobKind::service && j.cur.done.size() == j.cur.spec.tasks)
     j.cur.status = JobStatus::done;
-  mark(id, WritePriority::end);
+  mark(id, cause_of_end(j));
 }
 
 // One line a job: where the time went until all its tasks ran.
@@ -263,7 +282,7 @@
       p.running = true;
       j.cur.last_start = ctx_.wall;
       log_first_run(j);
-      mark(t.job, WritePriority::bookkeeping);
+      mark(t.job, j.cur.spec.kind == JobKind::gang ? WriteCause::gang_phase : WriteCause::running_mark);
     }
     const auto* durable = model_.job(t.job);
     const auto* d = durable ? durable->record.same_placement(p) : nullptr;
@@ -315,7 +334,7 @@
   for (const auto& [job_id, task] : gone) {
     if (OwnedJob* j = job(job_id)) {
       unplace(*j, task);
-      mark(job_id, WritePriority::end);
+      mark(job_id, cause_of_end(*j));
     }
   }
   return has_start;
@@ -324,7 +343,7 @@
 void Owner::direct(Machine& m) {
   if (m.in_flight || ctx_.now < m.next_direct || !members_.may_answer_workers()) return;
   const auto* record = model_.machine(m.id);
-  if (!record || record->record.address.empty() || record->record.doomed()) return;
+  if (!record || m.address.empty() || record->record.doomed()) return;
   bool has_start = false;
   auto commands = reconcile(m, has_start);
   const bool fence = m.token_seen < token(m);
@@ -334,7 +353,7 @@
   ctx_.counters["direct_commands"]++;
   const std::string id = m.id;
   const uint64_t used_token = token(m);
-  CommandWorker c{record->record.address, used_token, m.session, std::move(commands)};
+  CommandWorker c{m.address, used_token, m.session, std::move(commands)};
   ctx_.call(std::move(c), ctx_.tune.direct_timeout_s, [this, id, used_token, has_start](CallDone&& d) {
     Machine* mine = machine(id);
     if (!mine) return;
@@ -346,7 +365,7 @@
       machines_to_command_.insert(id);
       if (d.status == 409 && report->token > token(*mine)) mine->next_direct = ctx_.now + ctx_.tune.probe_every_s;
       // The worker hears us again: a new token shuts out what is still under way.
-      if (mine->uncertain != 0) write_machine(id, WritePriority::request, [](MachineRecord&) { return true; });
+      if (mine->uncertain != 0) write_machine(id, WriteCause::other, [](MachineRecord&) { return true; });
     } else {
       if (has_start) mine->uncertain = std::max(mine->uncertain, used_token);
       if (mine->direct_failing_since == 0) {
--- a/src/coordination/state_link.cpp
+++ b/src/coordination/state_link.cpp
@@ -1,11 +1,39 @@
 #include "coordination/state_link.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace rushtrestle::coordination {
 
 using store::Change;
 
+/// What one transaction will hold.
+struct StateLink::Batch {
+  std::vector<ItemPtr> items;
+  std::set<std::string> keys, conditions;
+  size_t bytes = 0, ops = 0;
+  bool full = false;
+
+  bool takes(const QueuedWrite& item, size_t size) const {
+    constexpr size_t kTxnBytes = size_t{56} * 1024;  // the service takes 64 KiB; the rest is for the frame
+    if (items.empty()) return true;
+    std::set<std::string> more = conditions;
+    more.insert(item.request.key);
+    for (const auto& c : item.prepared.conditions) more.insert(c.key);
+    return more.size() <= ops * 4 && bytes + size <= kTxnBytes;
+  }
+  void add(const ItemPtr& item, size_t size) {
+    keys.insert(item->request.key);
+    conditions.insert(item->request.key);
+    for (const auto& c : item->prepared.conditions) conditions.insert(c.key);
+    bytes += size;
+    items.push_back(item);
+    full = item->alone || items.size() >= ops;
+  }
+};
+
+StateLink::StateLink(Context& ctx, store::Model& model) : ctx_(ctx), model_(model), queue_(ctx.tune, ctx.operators) {}
+
 void StateLink::succeeded(double sent_at) {
   last_contact_ = std::max(last_contact_, sent_at);
   failing_ = false;
@@ -22,6 +50,7 @@
 }
 
 void StateLink::set_weight(double share) {
+  share_ = share;
   const double rps = ctx_.settings.state_rps * Tunables::kBudget * share;
   watch_budget_.set_rate(rps * Tunables::kWatchShare);
   proof_budget_.set_rate(rps * Tunables::kProofShare);
@@ -31,13 +60,34 @@
   write_budget_.set_rate(write_rate_);
 }
 
-double StateLink::backlog() const {
-  size_t n = 0;
-  for (const auto& q : queue_) n += q.size();
-  return static_cast<double>(n);
+double StateLink::backlog() const { return static_cast<double>(queue_.pressing(ctx_.now)); }
+
+// While others wait too long, acceptances have their part of the puts.
+double StateLink::accept_delay(store::Rank rank) const {
+  const size_t requests = queue_.waiting_before(WritePriority::request, rank);
+  const double rate = write_rate_ * (queue_.contended(ctx_.now) ? Tunables::kContendedShare[0] : 1);
+  return static_cast<double>(requests) / std::max(0.1, rate);
+}
+
+double StateLink::need() {
+  puts_lately_ *= std::exp2((puts_as_of_ - ctx_.now) / ctx_.tune.demand_memory_s);
+  puts_as_of_ = ctx_.now;
+  constexpr double kMargin = 1.25;  // for what comes unevenly
+  const double whole = ctx_.settings.state_write_rps * Tunables::kBudget;
+  return (puts_lately_ * kMargin + backlog() / ctx_.tune.drain_s) / whole;
 }
 
-double StateLink::accept_delay() const { return static_cast<double>(queue_[0].size()) / std::max(0.1, write_rate_); }
+store::Json StateLink::stats() {
+  store::Json j = ledger_.to_json();
+  j["waiting"] = {{"request", queue_.waiting(WritePriority::request)},
+                  {"placement", queue_.waiting(WritePriority::placement)},
+                  {"end", queue_.waiting(WritePriority::end)},
+                  {"gathered", queue_.waiting(WritePriority::gathered)},
+                  {"display", queue_.waiting(WritePriority::display)}};
+  j["share_of_budget"] = share_;
+  j["need_of_budget"] = need();
+  return j;
+}
 
 void StateLink::tick() {
   if (!renewing_ && ctx_.now >= next_renew_) renew();
@@ -60,12 +110,9 @@
 // When the first write that waits may leave by the budgets.
 double StateLink::writes_due() {
   if (!lease_valid() || txns_in_flight_ >= Tunables::kTxnsInFlight) return kNoDueTime;
-  for (int priority = 0; priority < kPriorities; ++priority) {
-    if (queue_[priority].empty()) continue;
-    const double floor = Tunables::kWriteFloor[priority];
+  return queue_.next_due(ctx_.now, [this](double floor) {
     return std::max({hold_writes_until_, txn_budget_.above_at(floor, ctx_.now), write_budget_.above_at(floor, ctx_.now)});
-  }
-  return kNoDueTime;
+  });
 }
 
 double StateLink::next_due() {
@@ -251,66 +298,70 @@
 // ---- writes ----
 
 void StateLink::write(WriteRequest request) {
-  auto item = std::make_shared<Item>();
-  auto& queue = queue_of(request.priority);
+  auto item = std::make_shared<QueuedWrite>();
   item->request = std::move(request);
-  queue.push_back(std::move(item));
+  queue_.add(item, ctx_.now);
 }
 
-void StateLink::requeue(const ItemPtr& item) { queue_of(item->request.priority).push_front(item); }
+bool StateLink::prepare(QueuedWrite& item) {
+  item.prepared = {};
+  if (!item.request.prepare(item.prepared)) return false;
+  if (!item.prepared.value) return true;
+  item.writer = ctx_.incarnation + "." + std::to_string(++writes_);
+  (*item.prepared.value)["w"] = item.writer;
+  return true;
+}
 
-void StateLink::flush() {
-  constexpr size_t kTxnBytes = size_t{56} * 1024;  // the service takes 64 KiB; the rest is for the frame
-  while (txns_in_flight_ < Tunables::kTxnsInFlight && ctx_.now >= hold_writes_until_ && lease_valid()) {
-    const double level = std::min(txn_budget_.level(ctx_.now), write_budget_.level(ctx_.now));
-    std::vector<ItemPtr> items;
-    std::set<std::string> keys, conditions;
-    size_t bytes = 0;
-    const auto ops = static_cast<size_t>(ctx_.settings.txn_ops);
-    bool full = false;
-    for (int priority = 0; priority < kPriorities && level > Tunables::kWriteFloor[priority]; ++priority) {
-      auto& queue = queue_[priority];
-      for (auto it = queue.begin(); it != queue.end() && !full;) {
-        ItemPtr item = *it;
-        if (keys_in_flight_.count(item->request.key) || keys.count(item->request.key) || (item->alone && !items.empty())) {
-          ++it;
-          continue;
-        }
-        item->prepared = {};
-        if (!item->request.prepare(item->prepared)) {
-          it = queue.erase(it);
-          item->request.done(WriteOutcome::skipped, 0);
-          // The callback may have queued more: begin again, with an iterator that holds.
-          it = queue.begin();
-          continue;
-        }
-        size_t size = 200;
-        if (item->prepared.value) {
-          item->writer = ctx_.incarnation + "." + std::to_string(++writes_);
-          (*item->prepared.value)["w"] = item->writer;
-          size += item->prepared.value->dump().size();
-        }
-        std::set<std::string> more = conditions;
-        more.insert(item->request.key);
-        for (const auto& c : item->prepared.conditions) more.insert(c.key);
-        if (!items.empty() && (more.size() > ops * 4 || bytes + size > kTxnBytes)) {
-          full = true;
-          break;
-        }
-        conditions = std::move(more);
-        bytes += size;
-        keys.insert(item->request.key);
-        items.push_back(item);
-        it = queue.erase(it);
-        full = item->alone || items.size() >= ops;
+void StateLink::fill(Batch& batch) {
+  constexpr size_t kFrameOfWrite = 200;
+  queue_.begin_transaction();
+  for (bool again = true; again && !batch.full;) {
+    again = false;
+    const auto is_busy = [&](const std::string& key) {
+      return keys_in_flight_.count(key) != 0 || batch.keys.count(key) != 0;
+    };
+    for (const auto& item : queue_.candidates(ctx_.now, write_level(), batch.ops - batch.items.size(), is_busy)) {
+      if (batch.keys.count(item->request.key) || (item->alone && !batch.items.empty())) continue;
+      queue_.take(item);
+      if (!prepare(*item)) {
+        item->request.done(WriteOutcome::skipped, 0);
+        again = true;  // its slot is for another, and the callback may have queued more
+        continue;
+      }
+      const size_t size = kFrameOfWrite + (item->prepared.value ? item->prepared.value->dump().size() : 0);
+      if (!batch.takes(*item, size)) {
+        ledger_.cut_short();
+        queue_.put_first(item);
+        batch.full = true;
+        return;
       }
-      if (full) break;
+      batch.add(item, size);
+      if (batch.full) return;
     }
-    if (items.empty()) return;
-    send(std::move(items));
   }
 }
 
+WriteHindrance StateLink::hindrance() {
+  if (!queue_.anything_pressing(ctx_.now)) return WriteHindrance::none;
+  if (!lease_valid()) return WriteHindrance::no_lease;
+  if (ctx_.now < hold_writes_until_) return WriteHindrance::pause;
+  if (txns_in_flight_ >= Tunables::kTxnsInFlight) return WriteHindrance::in_flight;
+  const double writes = write_budget_.level(ctx_.now), transactions = txn_budget_.level(ctx_.now);
+  if (std::min(writes, transactions) > 0) return WriteHindrance::record_in_flight;
+  return writes <= transactions ? WriteHindrance::write_rate : WriteHindrance::transaction_rate;
+}
+
+void StateLink::flush() {
+  while (txns_in_flight_ < Tunables::kTxnsInFlight && ctx_.now >= hold_writes_until_ && lease_valid()) {
+    Batch batch;
+    batch.ops = static_cast<size_t>(ctx_.settings.txn_ops);
+    fill(batch);
+    if (batch.items.empty()) break;
+    send(std::move(batch.items));
+  }
+  ledger_.hindered(hindrance(), ctx_.now, write_rate_);
+}
+
 void StateLink::send(std::vector<ItemPtr> items) {
   Txn txn;
   std::map<std::string, uint64_t> conditions;
@@ -323,6 +374,8 @@
   for (const auto& [key, stamp] : conditions) txn.conditions.push_back({key, stamp});
   txn_budget_.take(1);
   write_budget_.take(static_cast<double>(items.size()));
+  need();  // brings the count of puts up to now
+  puts_lately_ += static_cast<double>(items.size()) * std::log(2.0) / ctx_.tune.demand_memory_s;
   ++txns_in_flight_;
   const double sent = ctx_.now;
   ctx_.call(std::move(txn), ctx_.tune.poll_wait_s, [this, sent, items = std::move(items)](CallDone&& d) mutable {
@@ -337,6 +390,7 @@
     succeeded(sent_at);
     for (const auto& item : items) {
       keys_in_flight_.erase(item->request.key);
+      ledger_.put(item->request.cause, sent_at - item->queued_at);
       model_.apply(Change{item->request.key, item->prepared.value, reply->revision});
     }
     for (const auto& item : items) item->request.done(WriteOutcome::applied, reply->revision);
@@ -353,7 +407,7 @@
         look_up(*it);
       } else {
         keys_in_flight_.erase((*it)->request.key);
-        requeue(*it);
+        queue_.put_back(*it);
       }
     }
     return;
@@ -371,7 +425,7 @@
     hold_writes_until_ = ctx_.now + ctx_.jitter(d.status == 429 ? ctx_.settings.report_s / 20 : ctx_.settings.report_s / 5);
     for (auto it = items.rbegin(); it != items.rend(); ++it) {
       keys_in_flight_.erase((*it)->request.key);
-      requeue(*it);
+      queue_.put_back(*it);
     }
     return;
   }
@@ -383,7 +437,7 @@
     // One bad write must not take the others of its transaction with it.
     if (items.size() > 1 && item->prepared.lease == 0) {
       item->alone = true;
-      requeue(item);
+      queue_.put_back(item);
     } else {
       item->request.done(WriteOutcome::refused, 0);
     }
--- a/src/coordination/state_link.h
+++ b/src/coordination/state_link.h
@@ -1,48 +1,19 @@
 // This node's link to the state service: its lease, the warm model, the queue of
 // writes within the budget, and proofs that the model is current.
 #pragma once
-#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
 
 #include "coordination/context.h"
+#include "coordination/writes/write_ledger.h"
+#include "coordination/writes/write_queue.h"
 
 namespace rushtrestle::coordination {
 
-enum class WriteOutcome {
-  applied,
-  conflict,   // somebody else wrote first; the model holds what the key has now
-  unsettled,  // no answer and not there: it may yet be carried out, as long as the key keeps the stamp that it has
-  refused,    // the service won't take it
-  skipped     // `prepare` found nothing to write
-};
-
-/// In the order in which writes leave when the budget is short.
-enum class WritePriority {
-  request,     // acceptances, cancellations, keys held
-  placement,   // placements, and stops that make room
-  end,         // ends of tasks, machines offered and given back
-  bookkeeping  // for display and for the next owner
-};
-
-struct Prepared {
-  uint64_t expected = 0;  // stamp that the key must have, 0: absent
-  std::optional<store::Json> value;
-  uint64_t lease = 0;
-  std::vector<Condition> conditions;  // besides the key's own
-};
-
-struct WriteRequest {
-  std::string key;
-  WritePriority priority = WritePriority::request;
-  std::function<bool(Prepared&)> prepare;  // runs when the write is about to leave
-  std::function<void(WriteOutcome, uint64_t stamp)> done;
-};
-
 class StateLink {
  public:
-  StateLink(Context& ctx, store::Model& model) : ctx_(ctx), model_(model) {}
+  StateLink(Context& ctx, store::Model& model);
 
   void tick();
   /// When `tick` has something to do by the clock alone; a time that has passed: as soon as the budget allows.
@@ -61,9 +32,14 @@
   /// The model holds all that was written before this time. Other requests may succeed while the changes don't come.
   double current_at() const { return current_at_; }
   bool ever_synced() const { return current_at_ > kLongAgo; }
+  /// Writes that wait for nothing but the budget.
   double backlog() const;
-  /// How long a write of the first priority would wait now.
-  double accept_delay() const;
+  /// What we need of the whole budget of puts, as a part of it.
+  double need();
+  WriteLedger& ledger() { return ledger_; }
+  store::Json stats();
+  /// How long the acceptance of a job of this rank would wait now.
+  double accept_delay(store::Rank rank) const;
   /// Larger than the lower of the present and the announced limit.
   bool oversized(const store::Json& value) const {
     return store::stored_size(value) > static_cast<size_t>(ctx_.settings.value_kb * 1024);
@@ -74,13 +50,8 @@
   std::function<void()> on_lease_lost;
 
  private:
-  struct Item {
-    WriteRequest request;
-    Prepared prepared;
-    std::string writer;
-    bool alone = false;  // its transaction was refused: which of the writes was at fault is seen when each goes alone
-  };
-  using ItemPtr = std::shared_ptr<Item>;
+  using ItemPtr = QueuedWritePtr;
+  struct Batch;
   void succeeded(double sent_at);
   void failed(double sent_at, int status);
   void renew();
@@ -91,11 +62,14 @@
   void fail_proofs();
   void settle_proofs();
   void flush();
+  void fill(Batch& batch);
+  bool prepare(QueuedWrite& item);
+  WriteHindrance hindrance();
+  double write_level() { return std::min(txn_budget_.level(ctx_.now), write_budget_.level(ctx_.now)); }
   double writes_due();
   void send(std::vector<ItemPtr> items);
   void finished(std::vector<ItemPtr> items, double sent_at, CallDone&& done);
   void look_up(const ItemPtr& item);
-  void requeue(const ItemPtr& item);
 
   Context& ctx_;
   store::Model& model_;
@@ -120,9 +94,10 @@
   bool proving_ = false;
   std::vector<Proof> proofs_;
 
-  static constexpr int kPriorities = 4;
-  std::deque<ItemPtr> queue_[kPriorities];  // by priority
-  std::deque<ItemPtr>& queue_of(WritePriority priority) { return queue_[static_cast<size_t>(priority)]; }
+  WriteQueue queue_;
+  WriteLedger ledger_;
+  double share_ = 1;                         // of the whole budget
+  double puts_lately_ = 0, puts_as_of_ = 0;  // a second, and when that was reckoned
   std::set<std::string> keys_in_flight_;
   std::vector<std::pair<double, ItemPtr>> lookups_due_;
   int txns_in_flight_ = 0;
--- a/src/coordination/tunables.h
+++ b/src/coordination/tunables.h
@@ -24,7 +24,11 @@
         relay_limit_s(s.lease_s * 4),
         user_wait_s(4.0),
         poll_wait_s(1.5),
-        shed_polls_lag_s(poll_wait_s / 2) {}
+        shed_polls_lag_s(poll_wait_s / 2),
+        gather_s(s.report_s),
+        display_s(s.lease_s / 2),
+        demand_memory_s(s.report_s * 2),
+        drain_s(s.report_s / 2) {}
 
   // Grants survive two lost renewals; a dead controller's parts are free after a quarter of a worker lease.
   double state_lease_s, renew_every_s;
@@ -45,13 +49,25 @@
   // A poll has waited about so long when it is read, and its answer takes as long again: from here on it would come after
   // its user has given up.
   double shed_polls_lag_s;
+  // While the budget of writes is short, ends of single tasks wait so long for other changes of their record, and what is
+  // for display longer.
+  double gather_s, display_s;
+  // A controller's need of the budget: its puts of so long ago count half, and its backlog is to leave in so long.
+  double demand_memory_s, drain_s;
 
   // Shares of a node's part of state.rps.
   static constexpr double kBudget = 0.9, kWatchShare = 0.35, kProofShare = 0.25, kTxnShare = 0.4;
   static constexpr int kTxnsInFlight = 4;
   // How far the budget of writes must stand for each priority, in seconds' worth. Users wait for the first
   // two, so these may overdraw: other nodes seldom use all of theirs, and a 429 costs a tenth of a second.
-  static constexpr double kWriteFloor[] = {-1.0, -0.5, 0.0, 0.4};
+  static constexpr double kWriteFloor[] = {-1.0, -0.5, 0.0, 0.4, 0.4};
+  // The same for what has waited longer than its priority may.
+  static constexpr double kOverdueFloor[] = {-1.0, -1.0, -0.5, 0.0, 0.0};
+  // While others than users wait too long, the puts are divided in these parts, what a priority has no use for going to the
+  // next by order: a flood of acceptances kept placements from leaving at all.
+  static constexpr double kContendedShare[] = {0.35, 0.45, 0.1, 0.06, 0.04};
+  // What an idle controller keeps of an even share of the budget, for a burst that its peers have not heard of.
+  static constexpr double kIdleShare = 0.25;
   static constexpr double kMassShare = 0.4;      // a cut silences all of a zone; more silent than this share points to one
   static constexpr double kCondemnShare = 0.15;  // of a node's machines, condemned for silence in one silence limit
   // Times readyS: half as long again is usual, by the protocol. Then the plan reckons without the machine,
--- a/src/coordination/users.cpp
+++ b/src/coordination/users.cpp
@@ -87,7 +87,7 @@
     ctx_.counters["submissions_shed_for_memory"]++;
     return refuse(s.request, ctx_.settings.lease_s);
   }
-  const double delay = link_.accept_delay();
+  const double delay = link_.accept_delay(s.spec.rank);
   if (delay > ctx_.tune.user_wait_s / 2) return refuse(s.request, delay);
   pending_[s.request] = {Kind::submit, id, std::move(s.spec), ctx_.now + ctx_.tune.user_wait_s};
   write_submit(s.request);
@@ -97,6 +97,9 @@
   const std::string id = pending_.at(r).id;
   WriteRequest w;
   w.key = store::job_key(id);
+  w.cause = WriteCause::acceptance;
+  w.rank = pending_.at(r).spec.rank;
+  w.team = pending_.at(r).spec.team;
   w.prepare = [this, r, id](Prepared& p) {
     const auto it = pending_.find(r);
     if (it == pending_.end() || model_.knows_job(id)) return false;
@@ -165,6 +168,7 @@
   if (known && model_.record_format() >= 1 && link_.oversized(to_json(known->record))) return write_cancel_beside(r);
   WriteRequest w;
   w.key = store::job_key(id);
+  w.cause = WriteCause::cancellation;
   w.prepare = [this, r, id](Prepared& p) {
     const auto* durable = model_.job(id);
     if (!pending_.count(r) || !durable || durable->record.final_state()) return false;
@@ -186,6 +190,7 @@
   const std::string id = pending_.at(r).id;
   WriteRequest w;
   w.key = store::cancel_key(id);
+  w.cause = WriteCause::cancellation;
   w.prepare = [this, r, id](Prepared& p) {
     const auto* durable = model_.job(id);
     if (!pending_.count(r) || !durable || durable->record.final_state() || !link_.oversized(to_json(durable->record)))
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -43,6 +43,7 @@
             {"revision", s.revision},
             {"version", s.version},
             {"record_format", s.record_format}};
+  if (s.budget_need) j["need"] = *s.budget_need;
   if (s.current_age_s) j["current_age"] = *s.current_age_s;
   if (s.has) j["has"] = {{"incarnation", s.has->incarnation}, {"upto", s.has->upto}};
   if (s.handover) {
@@ -72,6 +73,7 @@
   if (f.find("revision")) s.revision = f.count("revision");
   if (f.find("version")) s.version = f.text("version", true);
   if (f.find("record_format")) s.record_format = f.count("record_format");
+  if (f.find("need")) s.budget_need = f.amount("need");
   if (f.find("current_age")) s.current_age_s = f.amount("current_age");
   if (j.contains("has")) s.has = mark_from_json(j["has"]);
   if (j.contains("handover")) s.handover = handover_from_json(j["handover"]);
--- a/tests/world.h
+++ b/tests/world.h
@@ -127,8 +127,9 @@
   struct Work {
     size_t cloud_calls = 0, state_requests = 0, writes = 0, worker_messages = 0;  // the last: sent to workers
     size_t peer_messages = 0, machines_named_to_peers = 0;
-    size_t refusals = 0;  // of users, with a time to come back
-    size_t turns = 0;     // of controllers: batches of commands worked off
+    size_t refusals = 0;    // of users, with a time to come back
+    size_t job_writes = 0;  // of writes, those of job records
+    size_t turns = 0;       // of controllers: batches of commands worked off
   };
   const Work& work() const { return work_; }
   const store::Settings& settings() const { return settings_; }
--- a/tests/world_state_service.cpp
+++ b/tests/world_state_service.cpp
@@ -71,6 +71,9 @@
   ++work_.state_requests;
   if (transaction) {
     work_.writes += transaction->writes.size();
+    work_.job_writes +=
+        static_cast<size_t>(std::count_if(transaction->writes.begin(), transaction->writes.end(),
+                                          [](const Write& write) { return write.key.rfind("job/", 0) == 0; }));
     check_value_sizes(*transaction);
   }
   return state_.answer(c, now_);
--- /dev/null
+++ b/tests/write_path_test.cpp
@@ -0,0 +1,176 @@
+// A short budget of writes: what is gathered, what meets it, and what is lost with the controller that gathered it.
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+namespace rushtrestle::testing {
+namespace {
+
+std::string first(const World& w) { return w.broken.empty() ? "" : w.broken.front(); }
+
+/// Four puts a second for three controllers: every burst is more than they may write.
+World::Options short_budget(uint64_t seed = 1) {
+  World::Options options;
+  options.seed = seed;
+  options.boot_failures = false;
+  options.consolidate = false;
+  options.state_write_rps = 4;
+  options.types = {{"small", {8, 0, 32}, 50, 1, 1, 0.5, 8, {"a", "b"}}};
+  options.capacity = {{"small", 10}};
+  options.teams = {{"red", {100, 0, 0}, {160, 0, 0}}, {"blue", {100, 0, 0}, {160, 0, 0}}};
+  options.uneven = 0.05;  // a task ends after the other
+  return options;
+}
+
+store::JobSpec array(const std::string& id, uint32_t tasks, const std::string& team = "red") {
+  store::JobSpec s;
+  s.id = id;
+  s.job_class = "batch";
+  s.team = team;
+  s.tasks = tasks;
+  s.per_task = {1, 0, 1};
+  s.image = "img";
+  s.image_gb = 0.1;
+  s.estimate_s = 10;
+  return s;
+}
+
+uint64_t total_starts(const World& w, int jobs) {
+  uint64_t n = 0;
+  for (int i = 0; i < jobs; ++i) n += w.starts_of("job-" + std::to_string(i));
+  return n;
+}
+
+/// Jobs of `tasks` each that run at the same time.
+void submit_jobs(World& w, int jobs, uint32_t tasks, double at) {
+  for (int i = 0; i < jobs; ++i) w.submit(array("job-" + std::to_string(i), tasks, i % 2 ? "blue" : "red"), at + 0.1 * i);
+}
+
+void expect_all_done(const World& w, int jobs) {
+  for (int i = 0; i < jobs; ++i) EXPECT_EQ(w.told("job-" + std::to_string(i)), "done") << i;
+  EXPECT_TRUE(w.broken.empty()) << first(w);
+}
+
+// Each end and each start that was seen was a put of its own: a job of ten tasks took a dozen.
+TEST(WritePath, AJobsEndsShareFewPutsWhileTheBudgetIsShort) {
+  World w(short_budget());
+  constexpr int kJobs = 8;
+  constexpr uint32_t kTasks = 12;
+  submit_jobs(w, kJobs, kTasks, 30);
+  w.run_until(150);
+  expect_all_done(w, kJobs);
+  EXPECT_EQ(total_starts(w, kJobs), kJobs * kTasks);
+  EXPECT_LE(w.work().job_writes, kJobs * 7);
+}
+
+// What ended and was not written yet is known to the worker, who keeps it until it is: the next owner neither runs it again
+// nor misses it.
+TEST(WritePath, AnOwnerThatEndsWithGatheredEndsLosesNone) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    World w(short_budget(seed));
+    constexpr int kJobs = 8;
+    constexpr uint32_t kTasks = 12;
+    submit_jobs(w, kJobs, kTasks, 30);
+    // At different moments of their ends.
+    for (int n = 0; n < 3; ++n) w.at(48 + n + 0.2 * static_cast<double>(seed), [&w, n] { w.kill_node(n, 4); });
+    w.run_until(180);
+    expect_all_done(w, kJobs);
+    EXPECT_EQ(total_starts(w, kJobs), kJobs * kTasks) << seed;
+  }
+}
+
+// An unanswered put may or may not have carried its gathered changes.
+TEST(WritePath, UnansweredPutsOfGatheredEndsAreSettled) {
+  for (const bool at_once : {true, false}) {
+    World w(short_budget(3));
+    constexpr int kJobs = 8;
+    constexpr uint32_t kTasks = 12;
+    submit_jobs(w, kJobs, kTasks, 30);
+    w.run_until(46);
+    w.unanswered_writes(15, 0.4, at_once);
+    w.run_until(220);
+    expect_all_done(w, kJobs);
+    EXPECT_EQ(total_starts(w, kJobs), kJobs * kTasks);
+  }
+}
+
+// The owner holds ends back when the job is called off: its write must not undo that, nor the other way round.
+TEST(WritePath, ACancellationMeetsGatheredEnds) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    World w(short_budget(seed));
+    constexpr int kJobs = 8;
+    submit_jobs(w, kJobs, 12, 30);
+    for (int i = 0; i < kJobs; ++i) w.cancel("job-" + std::to_string(i), 50 + 0.3 * i);
+    w.run_until(150);
+    for (int i = 0; i < kJobs; ++i) {
+      const std::string id = "job-" + std::to_string(i);
+      EXPECT_TRUE(w.told(id) == "cancelled" || w.told(id) == "done") << id;
+      EXPECT_EQ(w.running(id), 0u) << id;
+      EXPECT_EQ(w.placed(id), 0u) << id;
+    }
+    EXPECT_TRUE(w.broken.empty()) << first(w);
+  }
+}
+
+// Machines are lost, jobs end and others come, all in the same seconds.
+TEST(WritePath, AcceptancesEndsAndLostMachinesAtOnce) {
+  World w(short_budget(5));
+  constexpr int kJobs = 8, kLater = 30;
+  submit_jobs(w, kJobs, 10, 30);
+  w.run_until(50);
+  for (size_t n = 0; n < 3; ++n) w.kill_machine(n);
+  for (int i = kJobs; i < kJobs + kLater; ++i) w.submit(array("job-" + std::to_string(i), 1, i % 2 ? "blue" : "red"), 50);
+  w.run_until(300);
+  expect_all_done(w, kJobs + kLater);
+}
+
+// One team's thousand tasks and an urgent job of another: it starts within seconds, though the budget is spent throughout.
+TEST(WritePath, AnUrgentJobIsPlacedBesideAnotherTeamsFlood) {
+  auto options = short_budget(7);
+  options.nodes = 1;  // both teams are one controller's
+  options.trace = std::getenv("WORLD_TRACE") != nullptr;
+  World w(options);
+  for (int i = 0; i < 60; ++i) w.submit(array("job-" + std::to_string(i), 2), 30 + 0.05 * i);
+  auto urgent = array("job-urgent", 1, "blue");
+  urgent.rank = store::Rank::high;
+  w.submit(urgent, 45);
+  w.run_until(44);
+  ASSERT_LT(total_starts(w, 60), 120u);  // the flood is still being placed
+  w.run_until(54.8);
+  EXPECT_EQ(w.starts_of("job-urgent"), 1u);
+  w.run_until(200);
+  expect_all_done(w, 60);
+}
+
+// The service falls to a tenth of its rate while much is gathered.
+TEST(WritePath, TheRateFallsWhileWritesAreGathered) {
+  auto options = short_budget(9);
+  options.state_write_rps = 10;
+  options.next_write_rps = 2;
+  World w(options);
+  constexpr int kJobs = 8;
+  constexpr uint32_t kTasks = 12;
+  submit_jobs(w, kJobs, kTasks, 30);
+  w.run_until(47);
+  w.lower_write_rate();
+  w.run_until(300);
+  expect_all_done(w, kJobs);
+  EXPECT_EQ(total_starts(w, kJobs), kJobs * kTasks);
+}
+
+// The address of a machine waits for a budget; until then its part's next owner knows it from the worker's reports alone.
+TEST(WritePath, AMachineWhoseAddressIsNotWrittenYetChangesItsOwner) {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    World w(short_budget(seed));
+    constexpr int kJobs = 8;
+    constexpr uint32_t kTasks = 12;
+    submit_jobs(w, kJobs, kTasks, 3);
+    for (int n = 0; n < 3; ++n) w.at(16 + 0.5 * static_cast<double>(seed), [&w, n] { w.kill_node(n, 4); });
+    w.run_until(200);
+    expect_all_done(w, kJobs);
+    EXPECT_EQ(total_starts(w, kJobs), kJobs * kTasks) << seed;
+  }
+}
+
+}  // namespace
+}  // namespace rushtrestle::testing
