While contended, ends get a quarter of the puts

In the steady state each job needs an acceptance, a placement and an end.

Change: parts of 0.30, 0.35, 0.25, 0.06 and 0.04. What ends don't need goes on by order.

--- a/src/coordination/tunables.h
+++ b/src/coordination/tunables.h
@@ -65,7 +65,7 @@
   static constexpr double kOverdueFloor[] = {-1.0, -1.0, -0.5, 0.0, 0.0};
   // While others than users wait too long, the puts are divided in these parts, what a priority has no use for going to the
   // next by order: a flood of acceptances kept placements from leaving at all.
-  static constexpr double kContendedShare[] = {0.35, 0.45, 0.1, 0.06, 0.04};
+  static constexpr double kContendedShare[] = {0.3, 0.35, 0.25, 0.06, 0.04};
   // What an idle controller keeps of an even share of the budget, for a burst that its peers have not heard of.
   static constexpr double kIdleShare = 0.25;
   static constexpr double kMassShare = 0.4;      // a cut silences all of a zone; more silent than this share points to one
