--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -276,55 +276,59 @@
   w.cause = cause;
   w.rank = j->cur.spec.rank;
   w.team = j->cur.spec.team;
-  w.prepare = [this, id](Prepared& p) {
-    OwnedJob* owned = job(id);
-    const auto* durable = model_.job(id);
-    const uint64_t held = owned ? members_.held(owned->part) : 0;
-    if (!owned) return false;
-    owned->queued_priority.reset();
-    if (!owned->dirty() || !durable || held == 0) return false;
-    owned->prepared = owned->version;
-    // A final state that is durable is never left, whatever we came to think meanwhile.
-    if (durable->record.final_state()) owned->cur.status = durable->record.status;
-    update_pending(*owned);
-    p.expected = durable->stamp;
-    p.value = to_json(owned->cur);
-    if (link_.refuses(*p.value)) return false;  // until enough of its tasks have ended
-    p.conditions.push_back({store::part_key(owned->part), held});
-    // Whoever cancels a job whose record is too large to be written again writes beside it (Users::write_cancel): what
-    // was decided before that must not stand after it.
-    if (link_.oversized(to_json(durable->record)))
-      p.conditions.push_back({store::cancel_key(id), model_.stamp_of(store::cancel_key(id))});
-    // A new placement holds only if its machine was not offered or condemned meanwhile.
-    for (const auto& placed : owned->cur.placed) {
-      if (!durable->record.same_placement(placed))
-        p.conditions.push_back({store::machine_key(placed.machine), model_.stamp_of(store::machine_key(placed.machine))});
-    }
-    return true;
-  };
-  w.done = [this, id](WriteOutcome outcome, uint64_t stamp) {
-    OwnedJob* owned = job(id);
-    if (!owned) return;
-    if (outcome == WriteOutcome::applied) {
-      owned->written = owned->prepared;
-      if (owned->first_written_at == 0 && owned->first_placed_at > 0) owned->first_written_at = ctx_.now;
-      command_machines_of(*owned);
-      want_schedule_ |= pending_.count(id) != 0;
-      if (owned->cur.final_state() && owned->cur.placed.empty() && !owned->dirty() && !jobs_that_lost_tasks_.count(id))
-        drop_job(id);
-    } else if (outcome != WriteOutcome::skipped) {
-      if (outcome == WriteOutcome::refused) owned->retry_at = ctx_.now + ctx_.settings.lease_s;
-      command_machines_of(*owned);
-      rebase(id);
-      owned = job(id);
-      if (!owned) return;
-      command_machines_of(*owned);
-      if (outcome == WriteOutcome::unsettled) settle_by_writing(*owned, stamp);
-    }
-  };
+  w.prepare = [this, id](Prepared& p) { return prepare_job_write(id, p); };
+  w.done = [this, id](WriteOutcome outcome, uint64_t stamp) { job_written(id, outcome, stamp); };
   link_.write(std::move(w));
 }
 
+bool Owner::prepare_job_write(const std::string& id, Prepared& p) {
+  OwnedJob* owned = job(id);
+  const auto* durable = model_.job(id);
+  const uint64_t held = owned ? members_.held(owned->part) : 0;
+  if (!owned) return false;
+  owned->queued_priority.reset();
+  if (!owned->dirty() || !durable || held == 0) return false;
+  owned->prepared = owned->version;
+  // A final state that is durable is never left, whatever we came to think meanwhile.
+  if (durable->record.final_state()) owned->cur.status = durable->record.status;
+  update_pending(*owned);
+  p.expected = durable->stamp;
+  p.value = to_json(owned->cur);
+  if (link_.refuses(*p.value)) return false;  // until enough of its tasks have ended
+  p.conditions.push_back({store::part_key(owned->part), held});
+  // Whoever cancels a job whose record is too large to be written again writes beside it (Users::write_cancel): what
+  // was decided before that must not stand after it.
+  if (link_.oversized(to_json(durable->record)))
+    p.conditions.push_back({store::cancel_key(id), model_.stamp_of(store::cancel_key(id))});
+  // A new placement holds only if its machine was not offered or condemned meanwhile.
+  for (const auto& placed : owned->cur.placed) {
+    if (!durable->record.same_placement(placed))
+      p.conditions.push_back({store::machine_key(placed.machine), model_.stamp_of(store::machine_key(placed.machine))});
+  }
+  return true;
+}
+
+void Owner::job_written(const std::string& id, WriteOutcome outcome, uint64_t stamp) {
+  OwnedJob* owned = job(id);
+  if (!owned) return;
+  if (outcome == WriteOutcome::applied) {
+    owned->written = owned->prepared;
+    if (owned->first_written_at == 0 && owned->first_placed_at > 0) owned->first_written_at = ctx_.now;
+    command_machines_of(*owned);
+    want_schedule_ |= pending_.count(id) != 0;
+    if (owned->cur.final_state() && owned->cur.placed.empty() && !owned->dirty() && !jobs_that_lost_tasks_.count(id))
+      drop_job(id);
+  } else if (outcome != WriteOutcome::skipped) {
+    if (outcome == WriteOutcome::refused) owned->retry_at = ctx_.now + ctx_.settings.lease_s;
+    command_machines_of(*owned);
+    rebase(id);
+    owned = job(id);
+    if (!owned) return;
+    command_machines_of(*owned);
+    if (outcome == WriteOutcome::unsettled) settle_by_writing(*owned, stamp);
+  }
+}
+
 // A write without an answer may be carried out seconds later, over what its owner has read and begun from meanwhile: tasks
 // that were started by the record as it was ran on, while the late write placed them elsewhere. Any write moves the stamp,
 // and only one of the two is carried out; until then nothing is started (start_absent).
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -112,6 +112,8 @@
   void unplace(OwnedJob& j, uint32_t task);
   void lose_member(OwnedJob& j, uint32_t task);
   void mark(const std::string& id, WriteCause cause);
+  bool prepare_job_write(const std::string& id, Prepared& p);
+  void job_written(const std::string& id, WriteOutcome outcome, uint64_t stamp);
   WriteCause cause_of_end(const OwnedJob& j) const;
   void settle_by_writing(OwnedJob& j, uint64_t stamp);
   void machine_gone(const std::string& id);
