--- a/bench/scale/main.cpp
+++ b/bench/scale/main.cpp
@@ -49,7 +49,7 @@
     const std::string text = scale::report_text(report);
     std::cout << text;
     if (!output.empty()) {
-      save(output, experiment.name + ".json", report.dump(2) + "\n");
+      save(output, experiment.name + ".json", report.dump() + "\n");
       save(output, experiment.name + ".txt", text);
     }
     if (!run.failure().empty()) spdlog::error("{}", run.failure());
