The leader's rounds look at machines that are there, by kind and part, not at all that ever were

Cause, by reading: each round looked through every machine that was ever rented, the gone ones included; adopting a fleet that the cloud lists counted all machines for each of them (the square: 16 million steps at 4,000); sharing and renting compared each wanted machine with each unused one; reclaiming looked at all machines once for each waiting job of the same shape. Change: the model indexes machines that are not gone and those to be deleted; adoption counts once a list; unused machines are indexed by kind and part; a shape that found nothing is not looked for again in the same round. What is chosen stays. Several requests a kind leave in one plan where more than fifty machines are wanted, each kind's first before another's second: with one a plan 4,000 machines of a kind took 80 plans, however many calls the cloud allows.

--- a/src/coordination/capacity_planner.cpp
+++ b/src/coordination/capacity_planner.cpp
@@ -117,10 +117,10 @@
 
 void CapacityPlanner::add_slots() {
   slots_.clear();
-  for (const auto& [id, m] : model_.machines())
-    if (m.record.part == part_ && m.record.usable() && !without_->count(id) &&
-        !overdue(m.record, model_, outlook_.up, ctx_.wall))
-      add_slot(m.record);
+  for (const auto& [id, m] : model_.present_machines())
+    if (m->record.part == part_ && m->record.usable() && !without_->count(id) &&
+        !overdue(m->record, model_, outlook_.up, ctx_.wall))
+      add_slot(m->record);
   for (const auto& m : outlook_.rented)
     if (m.part == part_ && !model_.machine(m.id)) add_slot(m);
   if (const auto requested = outlook_.requested.find(part_); requested != outlook_.requested.end())
--- a/src/coordination/consolidator.cpp
+++ b/src/coordination/consolidator.cpp
@@ -62,10 +62,10 @@
 bool Consolidator::has_target(const store::JobSpec& spec, const std::string& from, int part, const Loads& loads,
                               const std::set<std::string>& emptied) const {
   const double long_fetch_s = ctx_.settings.report_s / 2;
-  for (const auto& [id, m] : model_.machines()) {
-    const auto* type = model_.type(m.record.type);
-    if (!type || id == from || emptied.count(id) || m.record.part != part || !m.record.usable() ||
-        !kind_allowed(spec, m.record.spot) || !type_allowed(spec, m.record.type))
+  for (const auto& [id, m] : model_.present_machines()) {
+    const auto* type = model_.type(m->record.type);
+    if (!type || id == from || emptied.count(id) || m->record.part != part || !m->record.usable() ||
+        !kind_allowed(spec, m->record.spot) || !type_allowed(spec, m->record.type))
       continue;
     if (!images_.has(id, spec.image) && spec.image_gb / std::max(0.01, type->fetch_gb_per_s) > long_fetch_s) continue;
     store::Resources free = type->size;
@@ -100,10 +100,10 @@
 std::vector<std::string> Consolidator::machines_to_empty(int part, const CapacityPlan& planned, CapacityPlanner& planner) {
   size_t machines = 0;
   size_t leaving = 0;
-  for (const auto& [id, m] : model_.machines()) {
-    if (m.record.part != part || m.record.doomed()) continue;
+  for (const auto& [id, m] : model_.present_machines()) {
+    if (m->record.part != part || m->record.doomed()) continue;
     ++machines;
-    if (m.record.phase == MachinePhase::offered) ++leaving;
+    if (m->record.phase == MachinePhase::offered) ++leaving;
   }
   if (leaving > machines / kAtOnce) return {};
   const Loads loads = loads_of(part);
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cmath>
 
+#include "coordination/adoption.h"
+#include "coordination/unused_machines.h"
+
 namespace rushtrestle::coordination {
 
 using store::JobStatus;
@@ -141,12 +144,14 @@
 }
 
 void Leader::listed(const std::vector<CloudMachine>& machines) {
+  AdoptionShares adoption(ctx_, model_, members_, fresh_);
+  // An answer that names it may still be under way to us.
+  const bool renting = std::any_of(rentals_.begin(), rentals_.end(), [](const Rental& r) { return r.in_flight; });
   for (const auto& c : machines) {
     if (c.state == CloudMachine::State::running) up_.insert(c.id);
     const auto* known = model_.machine(c.id);
     if (!known && !fresh_.count(c.id)) {
-      // An answer that names it may still be under way to us.
-      if (std::any_of(rentals_.begin(), rentals_.end(), [](const Rental& r) { return r.in_flight; })) continue;
+      if (renting) continue;
       MachineRecord r;
       r.id = c.id;
       r.address = "";
@@ -154,20 +159,8 @@
       r.zone = c.zone;
       r.spot = c.spot;
       r.since = ctx_.wall - c.age_s;
-      // To the part with the most work for its machines; plan() moves it on if need be.
-      std::map<int, double> load;
-      for (int p = 0; p < members_.parts(); ++p) load[p] = 0;
-      std::set<int> with_teams;
-      for (const auto& t : ctx_.settings.teams) {
-        const int p = members_.part_of_team(t.name);
-        with_teams.insert(p);
-        load[p] -= t.guarantee.cpus;
-      }
-      for (const auto& [mid, m] : model_.machines())
-        if (!m.record.doomed() && m.record.type == c.type) load[m.record.part] += 1e6 / 64;
-      for (const auto& [mid, m] : fresh_)
-        if (m.type == c.type) load[m.part] += 1e6 / 64;
-      r.part = *std::min_element(with_teams.begin(), with_teams.end(), [&](int a, int b) { return load[a] < load[b]; });
+      // plan() moves it on if need be.
+      r.part = adoption.next_part(c.type);
       ctx_.info("machine " + c.id + " adopted for part " + std::to_string(r.part));
       record_machine(r);
     } else if (known && c.state == CloudMachine::State::failed && !known->record.doomed()) {
@@ -212,12 +205,12 @@
 void Leader::delete_doomed() {
   constexpr size_t kMost = 100;  // names in one request, by the protocol
   std::vector<std::string> ids;
-  for (const auto& [id, m] : model_.machines())
-    if ((m.record.phase == MachinePhase::released || m.record.phase == MachinePhase::condemned) && !deleted_.count(id) &&
-        ids.size() < kMost)
-      ids.push_back(id);
+  for (const auto& [id, m] : model_.doomed_machines()) {
+    if (ids.size() == kMost) break;
+    if (!deleted_.count(id)) ids.push_back(id);
+  }
   if (ids.empty()) {
-    next_delete_ = ctx_.now + ctx_.settings.report_s / 20;  // all machines are looked at for it
+    next_delete_ = ctx_.now + ctx_.settings.report_s / 20;
     return;
   }
   deleting_ = true;
@@ -307,8 +300,9 @@
     if (r.status == JobStatus::open) used[r.spec.team].add(r.spec.per_task, r.spec.tasks - r.done.size());
   }
   std::map<int, double> capacity, guaranteed;  // CPUs by part
-  for (const auto& [id, m] : model_.machines())
-    if (const auto* type = model_.type(m.record.type); type && m.record.usable()) capacity[m.record.part] += type->size.cpus;
+  for (const auto& [id, m] : model_.present_machines())
+    if (const auto* type = model_.type(m->record.type); type && m->record.usable())
+      capacity[m->record.part] += type->size.cpus;
   for (const auto& t : ctx_.settings.teams) guaranteed[members_.part_of_team(t.name)] += t.guarantee.cpus;
   std::set<int> lenders;
   for (const auto& t : ctx_.settings.teams)
@@ -317,30 +311,37 @@
       lenders.insert(members_.part_of_team(t.name));
   // What is already on its way counts, and only a few go at a time: the next plan sees the effect.
   std::map<int, int> coming;
-  for (const auto& [id, m] : model_.machines())
-    if (m.record.phase == MachinePhase::offered && m.record.next_part >= 0) coming[m.record.next_part]++;
+  for (const auto& [id, m] : model_.present_machines())
+    if (m->record.phase == MachinePhase::offered && m->record.next_part >= 0) coming[m->record.next_part]++;
   constexpr int kAtOnce = 2;
   std::set<std::string> taken;
+  // Looked for once: with thousands of jobs of a few shapes waiting, all machines were looked at for each of them.
+  std::set<std::pair<int, std::string>> in_vain;
   for (const auto& u : unmet) {
     if (coming[u.part] >= kAtOnce) continue;
+    const auto shape = std::make_pair(u.part, placement_shape(u.spec, u.zones));
+    if (in_vain.count(shape)) continue;
     const store::Stamped<MachineRecord>* best = nullptr;
     int fewest = 0;
-    for (const auto& [id, m] : model_.machines()) {
-      const auto* type = model_.type(m.record.type);
-      if (!type || !m.record.usable() || m.record.part == u.part || !lenders.count(m.record.part) || taken.count(id) ||
-          capacity[m.record.part] - type->size.cpus < guaranteed[m.record.part] || !type_allowed(u.spec, m.record.type) ||
-          !kind_allowed(u.spec, m.record.spot) || !zone_allowed(u.spec, m.record.zone, u.zones) ||
-          capacity_for(u.spec, *type) <= 0)
+    for (const auto& [id, m] : model_.present_machines()) {
+      const auto& r = m->record;
+      const auto* type = model_.type(r.type);
+      if (!type || !r.usable() || r.part == u.part || !lenders.count(r.part) || taken.count(id) ||
+          capacity[r.part] - type->size.cpus < guaranteed[r.part] || !type_allowed(u.spec, r.type) ||
+          !kind_allowed(u.spec, r.spot) || !zone_allowed(u.spec, r.zone, u.zones) || capacity_for(u.spec, *type) <= 0)
         continue;
       const auto load = loads.find(id);
       if (load != loads.end() && load->second.pinned) continue;
       const int tasks = load == loads.end() ? 0 : load->second.tasks;
       if (!best || tasks < fewest) {
-        best = &m;
+        best = m;
         fewest = tasks;
       }
     }
-    if (!best) continue;
+    if (!best) {
+      in_vain.insert(shape);
+      continue;
+    }
     taken.insert(best->record.id);
     ++coming[u.part];
     ctx_.counters["guarantee_reclaims"]++;
@@ -384,7 +385,7 @@
 // The design's sharing: free machines go from parts that don't need them to parts that wait. In proportion
 // to waiting demand: whoever waits for most is served first, one machine each in turn.
 void Leader::share_unused(CapacityPlan& plan) {
-  auto& unused = plan.unused;
+  UnusedMachines unused(std::move(plan.unused), model_);
   std::sort(plan.wants.begin(), plan.wants.end(),
             [](const MachineWant& a, const MachineWant& b) { return a.urgent > b.urgent; });
   bool moved = true;
@@ -392,18 +393,15 @@
     moved = false;
     for (auto& w : plan.wants) {
       if (w.urgent + w.spare == 0) continue;
-      const auto it = std::find_if(unused.begin(), unused.end(), [&](const std::string& id) {
-        const auto& r = model_.machine(id)->record;
-        return r.part != w.part && kind_of(r) == w.kind;
-      });
-      if (it == unused.end()) continue;
-      ctx_.info("machine " + *it + " offered to part " + std::to_string(w.part));
-      offer(*it, w.part);
-      unused.erase(it);
+      const auto machine = unused.take(w.kind, w.part);
+      if (!machine) continue;
+      ctx_.info("machine " + *machine + " offered to part " + std::to_string(w.part));
+      offer(*machine, w.part);
       (w.urgent > 0 ? w.urgent : w.spare)--;
       moved = true;
     }
   }
+  plan.unused = unused.remaining();
 }
 
 // One part a plan, each once a sharing period: all at once would be a long pass.
@@ -425,15 +423,15 @@
 // What nobody has needed for a while is given back.
 void Leader::return_idle(const CapacityPlan& plan) {
   std::map<std::string, double> idle;
+  std::set<MachineKind> wanted_kinds;
+  for (const auto& want : plan.wants) wanted_kinds.insert(want.kind);
   for (const auto& id : plan.unused) {
     const auto before = idle_since_.find(id);
     idle[id] = before == idle_since_.end() ? ctx_.now : before->second;
     const auto& r = model_.machine(id)->record;
     const auto* type = model_.type(r.type);
     const double hold = type ? type->boot_s / 2 : kLeastChargeSeconds;
-    const bool wanted =
-        std::any_of(plan.wants.begin(), plan.wants.end(), [&](const MachineWant& w) { return kind_of(r) == w.kind; });
-    if (!wanted && ctx_.now - idle[id] > hold && ctx_.wall - r.since > kLeastChargeSeconds &&
+    if (!wanted_kinds.count(kind_of(r)) && ctx_.now - idle[id] > hold && ctx_.wall - r.since > kLeastChargeSeconds &&
         ctx_.now - led_since_ > ctx_.settings.lease_s) {
       ctx_.info("machine " + id + " is needed no more");
       offer(id, -1);
@@ -453,18 +451,11 @@
     store::Rank rank = store::Rank::low;
     std::vector<int> urgent, spare;
   };
+  UnusedMachines shared(std::move(unused), model_);
   std::map<MachineKind, std::vector<MachineWant*>> by_kind;
   for (auto& w : wants) {
     // Machines that another part does not need are shared, not rented anew; each counts once.
-    for (auto it = unused.begin(); it != unused.end() && w.urgent + w.spare > 0;) {
-      const auto& r = model_.machine(*it)->record;
-      if (r.part == w.part || kind_of(r) != w.kind) {
-        ++it;
-        continue;
-      }
-      (w.urgent > 0 ? w.urgent : w.spare)--;
-      it = unused.erase(it);
-    }
+    while (w.urgent + w.spare > 0 && shared.take(w.kind, w.part)) (w.urgent > 0 ? w.urgent : w.spare)--;
     if (w.urgent + w.spare > 0) by_kind[w.kind].push_back(&w);
   }
   std::vector<Order> orders;
@@ -493,15 +484,21 @@
     if (a.rank != b.rank) return a.rank > b.rank;
     return a.urgent.size() > b.urgent.size();
   });
-  for (auto& o : orders) {
-    if (!cloud_ready()) return;
-    std::vector<int> parts = std::move(o.urgent);
-    parts.insert(parts.end(), o.spare.begin(), o.spare.end());
-    if (parts.size() > kMost) parts.resize(kMost);
-    rentals_.push_back(
-        {o.kind, std::move(parts), std::to_string(members_.lead_stamp()) + "-" + std::to_string(++requests_), 0, false});
-    send_rental(rentals_.back());
-  }
+  // One request a plan and kind, of fifty machines, kept the budget of calls idle while thousands were wanted. Each kind
+  // has its first before another has its second.
+  for (size_t from = 0, longest = 1; from < longest; from += kMost)
+    for (const auto& o : orders) {
+      std::vector<int> parts = o.urgent;
+      parts.insert(parts.end(), o.spare.begin(), o.spare.end());
+      longest = std::max(longest, parts.size());
+      if (from >= parts.size()) continue;
+      if (!cloud_ready()) return;
+      const auto first = parts.begin() + static_cast<long>(from);
+      const auto last = parts.begin() + static_cast<long>(std::min(parts.size(), from + kMost));
+      rentals_.push_back({o.kind, std::vector<int>(first, last),
+                          std::to_string(members_.lead_stamp()) + "-" + std::to_string(++requests_), 0, false});
+      send_rental(rentals_.back());
+    }
 }
 
 // What is free at the cloud changes seldom but by our own deletions: asked for ever more rarely, so that
--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -39,8 +39,8 @@
 
 void Owner::gained(int part) {
   parts_.insert(part);
-  for (const auto& [id, m] : model_.machines())
-    if (m.record.part == part) machine_changed(id);
+  for (const auto& [id, m] : model_.present_machines())
+    if (m->record.part == part) machine_changed(id);
   for (const auto& id : model_.live_jobs()) job_changed(id);
   want_schedule_ = true;
 }
--- a/src/coordination/owner_scheduling.cpp
+++ b/src/coordination/owner_scheduling.cpp
@@ -301,18 +301,9 @@
 std::string Owner::placement_class_of(const OwnedJob& j) const {
   if (!j.avoid.empty()) return "";
   const auto& s = j.cur.spec;
-  std::string result = s.job_class + "|" + s.team + "|" + std::to_string(s.per_task.cpus) + "|" +
-                       std::to_string(s.per_task.gpus) + "|" + std::to_string(s.per_task.memory_gb) + "|" +
-                       (!s.spot                                              ? ""
-                        : can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall) ? "w"
-                                                                             : "s") +
-                       (s.spread ? "h" + std::to_string((s.tasks + 1) / 2) : "") + (s.one_zone ? "z" : "") +
-                       (s.zone ? *s.zone : "");
-  if (s.types)
-    for (const auto& t : *s.types) result += "|" + t;
-  if (s.spread || s.one_zone)
-    for (const auto& [zone, n] : zones_of(j.cur)) result += "|" + zone + std::to_string(n);
-  return result;
+  const bool can_wait = can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall);
+  return s.job_class + "|" + s.team + "|" + (can_wait ? "w" : "") +
+         placement_shape(s, s.spread || s.one_zone ? zones_of(j.cur) : ZoneCounts{});
 }
 
 void Owner::schedule(int part) {
--- a/src/store/model.cpp
+++ b/src/store/model.cpp
@@ -84,7 +84,18 @@
 void Model::apply_machine(const std::string& id, const Change& change) {
   if (const auto* old = machine(id); old && change.stamp <= old->stamp) return;
   Stamped<MachineRecord> fresh{machine_record_from_json(*change.value), change.stamp};
-  machines_[id] = std::move(fresh);
+  const auto& stored = machines_[id] = std::move(fresh);
+  const bool gone = stored.record.phase == MachinePhase::gone;
+  if (gone) {
+    present_machines_.erase(id);
+  } else {
+    present_machines_[id] = &stored;
+  }
+  if (!gone && stored.record.doomed()) {
+    doomed_machines_[id] = &stored;
+  } else {
+    doomed_machines_.erase(id);
+  }
   listener_.machine_changed(id);
 }
 
--- a/src/store/model.h
+++ b/src/store/model.h
@@ -77,7 +77,12 @@
   const Holder* holder(const std::string& key) const;
   uint64_t stamp_of(const std::string& key) const;
 
-  const std::map<std::string, Stamped<MachineRecord>>& machines() const { return machines_; }
+  using Machines = std::map<std::string, const Stamped<MachineRecord>*>;
+  /// Machines that are not gone. Those that are gone stay known by `machine`, for ever: to look through them, too, took
+  /// longer with each machine that was ever rented.
+  const Machines& present_machines() const { return present_machines_; }
+  /// Of these, released and condemned ones: the leader deletes them.
+  const Machines& doomed_machines() const { return doomed_machines_; }
   const std::vector<MachineType>& types() const { return types_; }
   const MachineType* type(const std::string& name) const;
   /// Jobs that are not over, or are over but still hold machines.
@@ -99,6 +104,7 @@
   std::unordered_map<std::string, Stamped<JobRecord>> jobs_;  // not over, or still holding machines
   std::unordered_map<std::string, FinishedJob> finished_;     // all others
   std::map<std::string, Stamped<MachineRecord>> machines_;
+  Machines present_machines_, doomed_machines_;
   std::map<std::string, Holder> holders_;
   std::vector<MachineType> types_;
   std::set<std::string> live_;
