A read of all keys follows the changes between its pages, and goes on where it failed

Need: a controller that starts beside a busy fleet reads all keys page by page. When more than the 10,000 changes that the state service keeps happened meanwhile, the first watch was answered with 410, the keys were read again, and so on: no model, ever. A page without an answer began the read anew, too, which hundreds of pages do not survive. Change: between pages the changes are followed as soon as they are half of what is kept, and a failed page is asked for again.

--- a/src/coordination/state_link.cpp
+++ b/src/coordination/state_link.cpp
@@ -171,48 +171,90 @@
 
 // ---- model ----
 
+namespace {
+// Of the changes that the state service keeps for those who follow them, by the protocol.
+constexpr uint64_t kKeptChanges = 10000;
+}  // namespace
+
 void StateLink::start_sync() {
   syncing_ = true;
-  seen_.clear();
-  read_page("", 0, ctx_.now);
+  if (!sync_.begun) {
+    sync_ = {};
+    sync_.begun = true;
+    sync_.began = ctx_.now;
+  }
+  read_page();
 }
 
-void StateLink::read_page(const std::string& after, uint64_t first_revision, double began) {
+// A read that failed goes on where it stopped: from the beginning each time, hundreds of pages would never be read
+// from a state service that leaves one request in a hundred unanswered.
+void StateLink::pause_sync(double sent_at, int status) {
+  failed(sent_at, status);
+  syncing_ = false;
+  next_sync_ = ctx_.now + ctx_.jitter(ctx_.tune.renew_every_s / 2);
+}
+
+void StateLink::read_page() {
   const double sent = ctx_.now;
-  ctx_.call(ReadPage{"", after}, ctx_.settings.report_s, [this, sent, first_revision, began](CallDone&& d) {
-    auto* page = std::get_if<PageReply>(&d.reply);
-    if (d.status != 200 || !page) {
-      failed(sent, d.status);
+  ctx_.call(ReadPage{"", sync_.after}, ctx_.settings.report_s, [this, sent](CallDone&& d) {
+    const auto* page = std::get_if<PageReply>(&d.reply);
+    if (d.status != 200 || !page) return pause_sync(sent, d.status);
+    succeeded(sent);
+    page_read(*page);
+  });
+}
+
+void StateLink::page_read(const PageReply& page) {
+  if (sync_.first_revision == 0) sync_.followed = sync_.first_revision = std::max<uint64_t>(1, page.revision);
+  for (const auto& e : page.entries) {
+    sync_.seen.insert(e.key);
+    if (!model_.apply(e)) ctx_.complain("record", "record " + e.key + " can't be read");
+  }
+  if (!page.more || page.entries.empty()) return finish_sync();
+  sync_.after = page.entries.back().key;
+  // Half of what is kept, if each transaction holds as many changes as it may.
+  const uint64_t most_behind = kKeptChanges / 2 / static_cast<uint64_t>(std::max(1, ctx_.settings.txn_ops));
+  page.revision > sync_.followed + most_behind ? catch_up() : read_page();
+}
+
+// With more changes during the read than the service keeps, the first watch after it was told to read again, and so
+// was the one after that: the controller never had a model. So changes are followed between pages, too.
+void StateLink::catch_up() {
+  const double sent = ctx_.now;
+  ctx_.call(Watch{sync_.followed, 0}, ctx_.settings.report_s, [this, sent](CallDone&& d) {
+    const auto* reply = std::get_if<WatchReply>(&d.reply);
+    if (d.status == 410) {  // the pause was too long
+      succeeded(sent);
+      sync_ = {};
       syncing_ = false;
-      next_sync_ = ctx_.now + ctx_.jitter(ctx_.tune.renew_every_s / 2);
       return;
     }
+    if (d.status != 200 || !reply) return pause_sync(sent, d.status);
     succeeded(sent);
-    const uint64_t revision = first_revision ? first_revision : std::max<uint64_t>(1, page->revision);
-    for (const auto& e : page->entries) {
-      seen_.insert(e.key);
+    for (const auto& e : reply->events)
       if (!model_.apply(e)) ctx_.complain("record", "record " + e.key + " can't be read");
-    }
-    if (page->more && !page->entries.empty()) {
-      read_page(page->entries.back().key, revision, began);
-      return;
-    }
-    // Leased keys are the only ones that vanish; a gap may have hidden it.
-    std::vector<std::string> leased{store::leader_key};
-    for (int p = 0; p < ctx_.settings.nodes; ++p) leased.push_back(store::part_key(p));
-    for (const auto& key : leased)
-      if (!seen_.count(key) && model_.stamp_of(key) != 0 && model_.stamp_of(key) <= revision)
-        model_.apply(Change{key, std::nullopt, revision});
-    model_.reached(revision);
-    seen_.clear();
-    syncing_ = false;
-    synced_ = true;
-    current_at_ = std::max(current_at_, began);
-    ctx_.info("model read up to revision " + std::to_string(revision));
-    model_advanced();
+    sync_.followed = std::max(sync_.followed, reply->revision);
+    read_page();
   });
 }
 
+void StateLink::finish_sync() {
+  // Leased keys are the only ones that vanish; a gap may have hidden it.
+  std::vector<std::string> leased{store::leader_key};
+  for (int p = 0; p < ctx_.settings.nodes; ++p) leased.push_back(store::part_key(p));
+  const uint64_t first = sync_.first_revision;
+  for (const auto& key : leased)
+    if (!sync_.seen.count(key) && model_.stamp_of(key) != 0 && model_.stamp_of(key) <= first)
+      model_.apply(Change{key, std::nullopt, first});
+  model_.reached(sync_.followed);
+  syncing_ = false;
+  synced_ = true;
+  current_at_ = std::max(current_at_, sync_.began);
+  sync_ = {};
+  ctx_.info("model read up to revision " + std::to_string(model_.revision()));
+  model_advanced();
+}
+
 void StateLink::follow() {
   following_ = true;
   watch_budget_.take(1);
--- a/src/coordination/state_link.h
+++ b/src/coordination/state_link.h
@@ -56,7 +56,11 @@
   void failed(double sent_at, int status);
   void renew();
   void start_sync();
-  void read_page(const std::string& after, uint64_t first_revision, double began);
+  void read_page();
+  void page_read(const PageReply& page);
+  void catch_up();
+  void pause_sync(double sent_at, int status);
+  void finish_sync();
   void follow();
   void send_proof();
   void fail_proofs();
@@ -78,7 +82,16 @@
   bool renewing_ = false, failing_ = false;
   bool synced_ = false, syncing_ = false, following_ = false;
   double next_sync_ = 0, next_follow_ = 0;
-  std::set<std::string> seen_;
+  /// A read of all keys, page by page, while they change.
+  struct Sync {
+    bool begun = false;
+    double began = 0;
+    std::string after;            // the last key that was read
+    uint64_t first_revision = 0;  // of the first page; 0: none was read yet
+    uint64_t followed = 0;        // all changes up to this revision are in the model
+    std::set<std::string> seen;   // keys
+  };
+  Sync sync_;
   TokenBucket watch_budget_, proof_budget_, txn_budget_, write_budget_;
   double write_rate_ = 1;
   bool limit_fell_ = false;  // an oversized value was refused
