Commands to workers and relayed reports take a bounded part of the sockets

Cause: each command that waits for its answer takes a socket, and a machine that is gone gives none until the time-out. Commands to all machines of a lost zone took every socket for own calls: renewals of the controller's lease failed at once, and commands that had found no socket counted as machines that do not answer, which are then given up. Change: commands under way are at most a fifth of the sockets, three quarters of that to machines that did not answer the last one; relayed reports a twentieth; the rest is refused or waits for its turn by id. What waits for a time is kept by that time: each turn looked at all machines that wait. What peers say may be as long as a page of the state service: with 64 KiB for messages that name machines, controllers of some 5,000 machines would not have heard each other.

--- a/src/coordination/owner.cpp
+++ b/src/coordination/owner.cpp
@@ -415,9 +415,9 @@
     due = std::min(due, next_scan_);
     if (want_schedule_) due = std::min(due, next_schedule_);
   }
-  for (const auto& id :
-       machines_to_command_)  // those left by `work`: for the next batch, or with a pause before the next command
-    if (const auto m = machines_.find(id); m != machines_.end()) due = std::min(due, m->second.next_direct);
+  // Those left by `work` are for the next batch, or for the next answer that makes a slot free.
+  if (!machines_to_command_.empty() && commands_in_flight_ < ctx_.tune.command_slots) due = ctx_.now;
+  if (!command_later_.empty()) due = std::min(due, command_later_.begin()->first);
   return due;
 }
 
@@ -436,6 +436,8 @@
 // just taken over took seconds, in which no renewal of the lease left, and the part was lost again.
 void Owner::command_machines() {
   constexpr size_t kMostInABatch = 16;
+  while (!command_later_.empty() && command_later_.begin()->first <= ctx_.now)
+    machines_to_command_.insert(command_later_.extract(command_later_.begin()).value().second);
   std::vector<std::string> ids;
   auto next = machines_to_command_.upper_bound(last_commanded_);
   for (size_t left = std::min(kMostInABatch, machines_to_command_.size()); left > 0; --left) {
@@ -443,13 +445,18 @@
     ids.push_back(*next++);
   }
   for (const auto& id : ids) {
+    if (commands_in_flight_ >= ctx_.tune.command_slots) return;
     last_commanded_ = id;
     machines_to_command_.erase(id);
     Machine* m = machine(id);
     if (!m) continue;
-    direct(*m);
-    // Still something to do later: a pause is over, or an answer outstanding.
-    if (m->wanted && !m->in_flight && ctx_.now < m->next_direct) machines_to_command_.insert(id);
+    if (has_command_slot(*m)) {
+      direct(*m);
+      // Still something to do later: a pause is over, or an answer outstanding.
+      if (m->wanted && !m->in_flight && ctx_.now < m->next_direct) command_later_.emplace(m->next_direct, id);
+    } else if (!m->in_flight) {
+      command_later_.emplace(ctx_.now + ctx_.tune.probe_every_s / 4, id);
+    }
   }
 }
 
@@ -461,6 +468,7 @@
   size_t waiting_jobs = 0;
   for (const int part : parts_) waiting_jobs += waiting(part).size();
   j["waiting"] = waiting_jobs;
+  j["commands_in_flight"] = commands_in_flight_;
   return j;
 }
 
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -134,6 +134,9 @@
   void log_first_run(OwnedJob& j);
   void task_ended(Machine& m, OwnedJob& j, const ReportedTask& t);
   void direct(Machine& m);
+  void send_commands(Machine& m, std::vector<WorkerCommand> commands, bool has_start);
+  void commands_answered(const std::string& id, uint64_t used_token, bool has_start, const CallDone& d);
+  bool has_command_slot(const Machine& m) const;
   void command_machines();
   void check_health(Machine& m);
   bool reports(const Machine& m) const { return ctx_.now - m.last_report <= ctx_.tune.probe_after_s; }
@@ -199,6 +202,10 @@
   std::unordered_map<std::string, double> relaying_since_;  // by machine
   std::set<std::string> machines_to_command_;               // machines to command at the end of the batch
   std::string last_commanded_;                              // of them; the next ones follow it by id
+  std::set<std::pair<double, std::string>> command_later_;  // machines to command, by the time of that
+  size_t commands_in_flight_ = 0;
+  size_t silent_commands_in_flight_ = 0;  // of them, to machines that did not answer the last one
+  size_t relays_in_flight_ = 0;
   bool want_schedule_ = false;
   std::vector<double> condemned_at_;  // for silence, of late
   double next_schedule_ = 0, next_scan_ = 0, next_health_ = 0;
--- a/src/coordination/owner_workers.cpp
+++ b/src/coordination/owner_workers.cpp
@@ -52,8 +52,16 @@
     relaying_since_.erase(since);
     return false;
   }
+  // Another controller may have room to pass it on: the worker asks the next one.
+  if (relays_in_flight_ >= ctx_.tune.relay_slots) {
+    ctx_.counters["relays_refused"]++;
+    ctx_.out.push_back(AnswerReport{request, ReportReply{}});
+    return true;
+  }
+  ++relays_in_flight_;
   ctx_.counters["reports_passed_on"]++;
   ctx_.call(RelayReport{address, std::move(report)}, ctx_.tune.direct_timeout_s, [this, request](CallDone&& d) {
+    --relays_in_flight_;
     auto* reply = std::get_if<ReportReply>(&d.reply);
     ctx_.out.push_back(AnswerReport{request, d.status == 200 && reply ? std::move(*reply) : ReportReply{}});
   });
@@ -348,34 +356,54 @@
   auto commands = reconcile(m, has_start);
   const bool fence = m.token_seen < token(m);
   if (commands.empty() && !m.wanted && !(fence && m.known)) return;
+  send_commands(m, std::move(commands), has_start);
+}
+
+// Each command that waits for its answer takes a socket, and a machine that is gone gives none until the time-out. With a
+// command to each machine of a lost zone at once no socket was left for the state service, whose lease lapsed, and
+// commands that had found no socket were taken for machines that don't answer.
+bool Owner::has_command_slot(const Machine& m) const {
+  if (commands_in_flight_ >= ctx_.tune.command_slots) return false;
+  return m.direct_failing_since == 0 || silent_commands_in_flight_ < ctx_.tune.silent_command_slots;
+}
+
+void Owner::send_commands(Machine& m, std::vector<WorkerCommand> commands, bool has_start) {
   m.wanted = false;
   m.in_flight = true;
   ctx_.counters["direct_commands"]++;
-  const std::string id = m.id;
   const uint64_t used_token = token(m);
+  const bool silent = m.direct_failing_since > 0;
+  ++commands_in_flight_;
+  if (silent) ++silent_commands_in_flight_;
   CommandWorker c{m.address, used_token, m.session, std::move(commands)};
-  ctx_.call(std::move(c), ctx_.tune.direct_timeout_s, [this, id, used_token, has_start](CallDone&& d) {
-    Machine* mine = machine(id);
-    if (!mine) return;
-    mine->in_flight = false;
-    const auto* report = std::get_if<WorkerReport>(&d.reply);
-    if ((d.status == 200 || d.status == 409) && report && report->machine == id) {
-      mine->direct_failing_since = 0;
-      process(*mine, *report);
-      machines_to_command_.insert(id);
-      if (d.status == 409 && report->token > token(*mine)) mine->next_direct = ctx_.now + ctx_.tune.probe_every_s;
-      // The worker hears us again: a new token shuts out what is still under way.
-      if (mine->uncertain != 0) write_machine(id, WriteCause::other, [](MachineRecord&) { return true; });
-    } else {
-      if (has_start) mine->uncertain = std::max(mine->uncertain, used_token);
-      if (mine->direct_failing_since == 0) {
-        mine->direct_failing_since = ctx_.now;
-        mine->session_when_deaf = mine->session;
-      }
-      mine->next_direct = ctx_.now + ctx_.jitter(ctx_.tune.probe_every_s);
-      mine->wanted = true;
-    }
+  ctx_.call(std::move(c), ctx_.tune.direct_timeout_s, [this, id = m.id, used_token, has_start, silent](CallDone&& d) {
+    --commands_in_flight_;
+    if (silent) --silent_commands_in_flight_;
+    commands_answered(id, used_token, has_start, d);
   });
 }
 
+void Owner::commands_answered(const std::string& id, uint64_t used_token, bool has_start, const CallDone& d) {
+  Machine* mine = machine(id);
+  if (!mine) return;
+  mine->in_flight = false;
+  const auto* report = std::get_if<WorkerReport>(&d.reply);
+  if ((d.status == 200 || d.status == 409) && report && report->machine == id) {
+    mine->direct_failing_since = 0;
+    process(*mine, *report);
+    machines_to_command_.insert(id);
+    if (d.status == 409 && report->token > token(*mine)) mine->next_direct = ctx_.now + ctx_.tune.probe_every_s;
+    // The worker hears us again: a new token shuts out what is still under way.
+    if (mine->uncertain != 0) write_machine(id, WriteCause::other, [](MachineRecord&) { return true; });
+  } else {
+    if (has_start) mine->uncertain = std::max(mine->uncertain, used_token);
+    if (mine->direct_failing_since == 0) {
+      mine->direct_failing_since = ctx_.now;
+      mine->session_when_deaf = mine->session;
+    }
+    mine->next_direct = ctx_.now + ctx_.jitter(ctx_.tune.probe_every_s);
+    mine->wanted = true;
+  }
+}
+
 }  // namespace rushtrestle::coordination
--- a/src/coordination/tunables.h
+++ b/src/coordination/tunables.h
@@ -28,7 +28,10 @@
         gather_s(s.report_s),
         display_s(s.lease_s / 2),
         demand_memory_s(s.report_s * 2),
-        drain_s(s.report_s / 2) {}
+        drain_s(s.report_s / 2),
+        command_slots(slots(s, kCommandShare)),
+        silent_command_slots(slots(s, kCommandShare * kSilentShare)),
+        relay_slots(slots(s, kRelayShare)) {}
 
   // Grants survive two lost renewals; a dead controller's parts are free after a quarter of a worker lease.
   double state_lease_s, renew_every_s;
@@ -54,6 +57,9 @@
   double gather_s, display_s;
   // A controller's need of the budget: its puts of so long ago count half, and its backlog is to leave in so long.
   double demand_memory_s, drain_s;
+  // Commands to workers that may wait for their answers at once, of those the ones to machines that did not answer the
+  // last time, and reports that are passed on. Each takes a socket.
+  size_t command_slots, silent_command_slots, relay_slots;
 
   // Shares of a node's part of state.rps.
   static constexpr double kBudget = 0.9, kWatchShare = 0.35, kProofShare = 0.25, kTxnShare = 0.4;
@@ -74,6 +80,14 @@
   // and in the end it is deleted, as some never come up and are charged all the same.
   static constexpr double kBootUsual = 1.6, kBootPatience = 2.5;
   static constexpr int kFaultyJobs = 2;  // different jobs failing on a machine in a row
+
+ private:
+  // Of a controller's sockets; with those for the state service, the cloud and the peers less than the transport has for
+  // connections of its own (transport/node.cpp).
+  static constexpr double kCommandShare = 0.2, kSilentShare = 0.75, kRelayShare = 0.05;
+  static size_t slots(const store::Settings& s, double share) {
+    return static_cast<size_t>(std::max(2.0, s.max_connections * share));
+  }
 };
 
 }  // namespace rushtrestle::coordination
--- a/src/transport/node.cpp
+++ b/src/transport/node.cpp
@@ -51,7 +51,8 @@
   return std::holds_alternative<CommandWorker>(call->body) ? Urgency::worker : Urgency::other;
 }
 
-// A whole page of the state service or of the cloud's list, with room to spare.
+// A whole page of the state service or of the cloud's list, with room to spare. What peers say is as long as that at most,
+// too: it names machines, and with the protocol's limit for others controllers of 5,000 machines did not hear each other.
 size_t reply_limit(const store::Settings& s) { return static_cast<size_t>(s.memory_mb * 1024 * 1024 / 14); }
 }  // namespace
 
@@ -73,7 +74,7 @@
                                         HttpServer::Limits{share_of(settings, kServerShare), protocol::kBodyLimit, idle_s},
                                         [this](ExchangeId id, Message&& m) { from_users(id, std::move(m)); });
   peers_ = std::make_unique<HttpServer>(loop, parse_address(settings.peer_listen),
-                                        HttpServer::Limits{share_of(settings, kPeerShare), protocol::kBodyLimit, idle_s},
+                                        HttpServer::Limits{share_of(settings, kPeerShare), reply_limit(settings), idle_s},
                                         [this](ExchangeId id, Message&& m) { from_peers(id, std::move(m)); });
   loop_.each_turn([this] { turn(); });
   commands_.push_back(Tick{});
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -219,6 +219,34 @@
   EXPECT_TRUE(w.broken.empty()) << first(w);
 }
 
+// A command to each machine of a lost zone took every socket for as long as a time-out: the renewals of the lease found
+// none, the lease lapsed, and machines for whose command there was no socket were given up as if they did not answer.
+TEST(Scale, ALostZoneLeavesSocketsForTheStateService) {
+  World::Options options;
+  options.nodes = 2;
+  options.teams = teams(2);
+  options.boot_failures = false;
+  options.consolidate = false;
+  options.state_rps = 400;
+  options.state_write_rps = 200;
+  options.cloud_rps = 20;
+  options.max_connections = 60;  // of which 18 are for own calls
+  options.types = {{"mid", {8, 0, 128}, 50, 1, 1.8, 0.7, 8, {"a", "b"}}};
+  options.capacity = {{"mid", 120}};
+  World w(options);
+  constexpr int kJobs = 120;
+  for (int i = 0; i < kJobs; ++i) w.submit(service(i, 2, 4), 3);
+  w.run_until(50);
+  ASSERT_GE(w.machines_up(), 100u);
+  const auto before = w.work();
+  w.kill_zone("a");
+  w.run_until(110);
+  EXPECT_EQ(w.work().calls_without_socket, before.calls_without_socket);
+  EXPECT_LE(w.work().most_commands_at_once, static_cast<size_t>(options.max_connections * 0.2));
+  for (int i = 0; i < kJobs; ++i) EXPECT_GE(w.running("job-" + std::to_string(i)), 2u) << i;  // the half that is in zone b
+  EXPECT_TRUE(w.broken.empty()) << first(w);
+}
+
 // A job's last start stood for all its replicas, and one array kept a machine from being emptied: at a
 // few hundred jobs nothing was ever settled, and the fleet stayed at its largest.
 TEST(Scale, MachinesAreEmptiedThoughJobsStartAllTheTime) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -25,7 +25,7 @@
   settings_.list_lag_s = 3;
   settings_.cpu_share = 0.16;
   settings_.memory_mb = 56;
-  settings_.max_connections = 800;
+  settings_.max_connections = options_.max_connections;
   settings_.cloud = settings_.state = "cloud";
   types_ = options_.types;
   if (types_.empty())
@@ -75,6 +75,8 @@
   node.core = start_controller(node.version, {s, operators, node.name + "." + std::to_string(node.generation), rng_(),
                                               options_.trace ? LogLine::Level::info : LogLine::Level::error});
   node.commands.clear();
+  node.calls.clear();
+  node.commands_to_workers.clear();
   node.alive = true;
   schedule_tick(n, settings_.report_s / 80);
 }
@@ -93,6 +95,10 @@
 void World::deliver(int n, Command c) {
   Node& node = nodes_[static_cast<size_t>(n)];
   if (!node.alive) return;
+  if (const auto* done = std::get_if<CallDone>(&c)) {
+    node.calls.erase(done->call);
+    node.commands_to_workers.erase(done->call);
+  }
   node.commands.push_back(std::move(c));
   if (node.scheduled) return;
   node.scheduled = true;
@@ -279,10 +285,30 @@
 
 void World::cut_node(int n, double for_s, bool hold) { cut(node_name(n), "*", for_s, hold); }
 
+// As the transport does: a call for which there is no socket has no answer.
+bool World::take_socket(Node& node, const Call& c) {
+  constexpr double kShareForCalls = 0.3;
+  const auto sockets = static_cast<size_t>(settings_.max_connections * kShareForCalls);
+  if (node.calls.size() >= sockets) {
+    ++work_.calls_without_socket;
+    return false;
+  }
+  node.calls.insert(c.id);
+  if (std::holds_alternative<CommandWorker>(c.body)) node.commands_to_workers.insert(c.id);
+  work_.most_commands_at_once = std::max(work_.most_commands_at_once, node.commands_to_workers.size());
+  return true;
+}
+
 void World::perform(int n, int generation, Call&& c) {
   const std::string name = node_name(n);
   const double deadline = now_ + c.timeout_s;
   const CallId id = c.id;
+  if (!take_socket(nodes_[static_cast<size_t>(n)], c)) {
+    at(now_, [this, n, generation, id] {
+      if (nodes_[static_cast<size_t>(n)].generation == generation) deliver(n, CallDone{id, 0, {}});
+    });
+    return;
+  }
   // Whatever comes first, an answer or the time-out, ends the call; the core ignores the second.
   const auto back = [this, n, generation](const std::string& from, CallDone&& d) {
     send(from, node_name(n), [this, n, generation, done = std::move(d)]() mutable {
--- a/tests/world.h
+++ b/tests/world.h
@@ -47,6 +47,7 @@
     // sent nor understood.
     std::set<int> words_of_before;
     double memory_in_use_mb = 0;  // by each controller, of 56
+    int max_connections = 800;    // sockets of a controller; of these, those for its own calls bound the calls under way
   };
   explicit World(Options options);
 
@@ -75,6 +76,7 @@
   void slow_state(double for_s);  // one request in four takes seconds
   void cut(const std::string& a, const std::string& b, double for_s, bool hold, bool one_way = false);
   void kill_machine(size_t pick);
+  void kill_zone(const std::string& zone);  // all its machines that are up
   void sicken_machine_of(const std::string& job, double for_s);
   // The controller that holds the part of the job's team.
   std::optional<int> owner_of(const std::string& job) const;
@@ -130,6 +132,8 @@
     size_t refusals = 0;    // of users, with a time to come back
     size_t job_writes = 0;  // of writes, those of job records
     size_t turns = 0;       // of controllers: batches of commands worked off
+    size_t calls_without_socket = 0;
+    size_t most_commands_at_once = 0;  // to workers, by one controller
   };
   const Work& work() const { return work_; }
   const store::Settings& settings() const { return settings_; }
@@ -151,6 +155,7 @@
     uint64_t tick_serial = 0;  // of the tick that counts
     double wall_offset = 0, drift = 1, frozen_until = 0;
     double starved_until = 0, batch_s = 0;
+    std::set<CallId> calls, commands_to_workers;  // under way; each takes a socket
   };
   struct Task {
     ReportedTask report;
@@ -199,6 +204,7 @@
   void process(int n);
   void carry_out(int n, Effect&& e);
   void perform(int n, int generation, Call&& c);
+  bool take_socket(Node& node, const Call& c);
   CallDone at_state(int n, const Call& c);
   void check_value_sizes(const Txn& t);
   void watch(int n, int generation, const Call& c, double deadline);
--- a/tests/world_troubles.cpp
+++ b/tests/world_troubles.cpp
@@ -18,6 +18,13 @@
     w->tasks.clear();
   }
 }
+void World::kill_zone(const std::string& zone) {
+  for (auto& [id, w] : workers_) {
+    if (w.zone != zone || w.phase != Worker::Phase::up) continue;
+    w.phase = Worker::Phase::dead;
+    w.tasks.clear();
+  }
+}
 World::Worker* World::worker_of(const std::string& job, size_t nth) {
   for (auto& [id, w] : workers_) {
     const bool has_it =
