A pass and a plan try each shape of waiting job once, and write its text once

Change: the planner remembers shapes that found nothing, and looks only at what was planned to be rented since; the part of a placement class that never changes is kept; the room in a record is worked out once there is a place.

--- a/src/coordination/capacity_planner.cpp
+++ b/src/coordination/capacity_planner.cpp
@@ -80,6 +80,7 @@
   team_used_.clear();
   waiting_.clear();
   running_array_tasks_ = 0;
+  failures_.clear();
   fit_ = {};
   for (const auto& id : model_.live_jobs()) {
     const auto& r = model_.job(id)->record;
@@ -168,10 +169,39 @@
     put_gang(request, zones, need, plan);
     return;
   }
-  for (uint32_t i = 0; i < need; ++i)
+  if (need == 0 || !put_first(request, zones, plan)) return;
+  for (uint32_t i = 1; i < need; ++i)
     if (!put(request, zones, plan)) break;
 }
 
+bool CapacityPlanner::any_slot_may_take(const Request& request, size_t from) const {
+  return std::any_of(slots_.begin() + static_cast<long>(from), slots_.end(), [&](const Slot& slot) {
+    return request.spec.per_task.fits(slot.free) && kind_allowed(request.spec, slot.spot) &&
+           type_allowed(request.spec, slot.type->name);
+  });
+}
+
+// The first task of a job. Where thousands of jobs of a few shapes wait in vain, each of them was tried on every slot: only
+// what was rented since the last of its shape can make a difference, as other slots only lose room.
+bool CapacityPlanner::put_first(const Request& request, ZoneCounts& zones, CapacityPlan& plan) {
+  const auto& spec = request.spec;
+  if (!within(team_used_[spec.team], spec.per_task, team_settings(spec.team).limit)) return false;
+  // What is held back for work with GPUs moves from slot to slot, and may let in later what it kept out.
+  const bool bound = fit_.reserve.gpus > 0 && (spec.per_task.gpus == 0 || spec.spot);
+  if (bound) return put(request, zones, plan);
+  const std::string shape = placement_shape(spec) + (spec.spread || spec.one_zone ? zones_shape(zones) : "") +
+                            (request.spot_only ? "|o" : "") + (request.may_rent ? "|r" : "");
+  auto& failure = failures_[shape];
+  const bool tried = failure.slots_tried > 0 && !any_slot_may_take(request, failure.slots_tried);
+  if (!tried && put(request, zones, plan)) {
+    failure = {};
+    return true;
+  }
+  if (tried) note_unmet(request, zones, plan);
+  failure.slots_tried = slots_.size();
+  return false;
+}
+
 // All of them, or nothing is taken and nothing wanted.
 bool CapacityPlanner::put_all(const Request& request, ZoneCounts zones, uint32_t tasks, CapacityPlan& plan) {
   const auto slots_before = slots_;
@@ -183,6 +213,7 @@
     slots_ = slots_before;
     slots_of_ = slots_of_before;
     team_used_[request.spec.team] = team_before;
+    failures_.clear();  // room that they found taken is free again
     plan.wants = plan_before.wants;
     return false;
   }
@@ -220,6 +251,13 @@
       plan.unused.push_back(slots_[i].machine);
 }
 
+void CapacityPlanner::note_unmet(const Request& request, const ZoneCounts& zones, CapacityPlan& plan) {
+  const auto& spec = request.spec;
+  if (request.urgent && !request.spot_only &&
+      within(team_used_[spec.team], spec.per_task, team_settings(spec.team).guarantee))
+    plan.unmet.push_back({part_, spec, zones});
+}
+
 bool CapacityPlanner::put(const Request& request, ZoneCounts& zones, CapacityPlan& plan) {
   const auto& spec = request.spec;
   // What is only expected must not hold an ordinary machine that it could do without.
@@ -239,8 +277,7 @@
     rented = !slot && rent_slot(request, zones, true, plan);
   }
   if (!slot && !rented) {
-    if (request.urgent && !request.spot_only && within(team, spec.per_task, settings.guarantee))
-      plan.unmet.push_back({part_, spec, zones});
+    note_unmet(request, zones, plan);
     return false;
   }
   if (slot) {
--- a/src/coordination/capacity_planner.h
+++ b/src/coordination/capacity_planner.h
@@ -83,6 +83,10 @@
     int ordinary = 0;
     int spot = 0;
   };
+  /// A task for which there was neither room nor anything to rent.
+  struct Failure {
+    size_t slots_tried = 0;  // the first ones; they have lost room since, if anything
+  };
 
   void run(int part, const std::set<std::string>& without, CapacityPlan& plan);
   void count_placed();
@@ -96,6 +100,9 @@
   void plan_spare(std::vector<Demand::Forecast> forecasts, CapacityPlan& plan);
   void note_unused(CapacityPlan& plan) const;
   bool put(const Request& request, ZoneCounts& zones, CapacityPlan& plan);
+  bool put_first(const Request& request, ZoneCounts& zones, CapacityPlan& plan);
+  void note_unmet(const Request& request, const ZoneCounts& zones, CapacityPlan& plan);
+  bool any_slot_may_take(const Request& request, size_t from) const;
   bool rent_slot(const Request& request, const ZoneCounts& zones, bool with_gpus, CapacityPlan& plan);
   const store::MachineType* cheapest(const Request& request, const ZoneCounts& zones, bool with_gpus, MachineKind& kind);
   const store::TeamSettings& team_settings(const std::string& team) const;
@@ -123,6 +130,7 @@
   std::map<std::string, TaskCounts> placed_tasks_;               // by class
   std::map<std::string, store::Resources> team_used_;
   std::vector<const store::JobRecord*> waiting_;
+  std::map<std::string, Failure> failures_;  // by shape
   Fit fit_;
   bool production_waits_ = false;
   double running_array_tasks_ = 0;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -319,7 +319,7 @@
   std::set<std::pair<int, std::string>> in_vain;
   for (const auto& u : unmet) {
     if (coming[u.part] >= kAtOnce) continue;
-    const auto shape = std::make_pair(u.part, placement_shape(u.spec, u.zones));
+    const auto shape = std::make_pair(u.part, placement_shape(u.spec) + zones_shape(u.zones));
     if (in_vain.count(shape)) continue;
     const store::Stamped<MachineRecord>* best = nullptr;
     int fewest = 0;
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -54,6 +54,7 @@
     // When this owner saw the steps to the job's first whole run, for the log; 0: not seen.
     double adopted_at = 0, first_placed_at = 0, last_placed_at = 0, first_written_at = 0, whole_at = 0;
     uint32_t fetches = 0;  // tasks placed where their image was not known to be
+    std::string shape;     // what its placement class says of its description, which never changes
   };
   struct Machine {
     std::string id;
@@ -153,10 +154,11 @@
   int order_group(const store::JobRecord& r) const;
   ZoneCounts zones_of(const store::JobRecord& r) const;
   bool within_limit(const std::string& team, const store::Resources& more) const;
-  uint32_t placement_room(const store::JobRecord& r, const std::vector<Slot>& slots) const;
+  uint32_t placement_room(const store::JobRecord& r) const;
   size_t most_new_machines() const { return static_cast<size_t>(std::max(1, ctx_.settings.txn_ops * 4 - 2)); }
   uint32_t next_pending(const store::JobRecord& r, uint32_t from) const;
-  std::string placement_class_of(const OwnedJob& j) const;
+  std::string placement_class_of(OwnedJob& j) const;
+  size_t longest_machine_id() const;
   void schedule(int part);
   void schedule_job(OwnedJob& j, std::vector<Slot>& open_slots, std::set<std::string>& without_room);
   double team_load(const std::string& team);
@@ -209,7 +211,9 @@
   bool want_schedule_ = false;
   std::vector<double> condemned_at_;  // for silence, of late
   double next_schedule_ = 0, next_scan_ = 0, next_health_ = 0;
+  // Of the pass that is under way:
   double cpu_per_gpu_ = 0;
+  size_t longest_machine_id_ = 0;
   Reserve reserve_;
   bool production_waits_ = false;
   // Room that a commit freed for its contender, until that is placed.
--- a/src/coordination/owner_scheduling.cpp
+++ b/src/coordination/owner_scheduling.cpp
@@ -90,18 +90,22 @@
 
 // A record must stay below value_kb: the number of tasks placed at once is bound by it, and since the lowest tasks
 // start first, so is the number of holes among the done ones. What a task's end adds is less than its placement took.
-uint32_t Owner::placement_room(const JobRecord& r, const std::vector<Slot>& slots) const {
+uint32_t Owner::placement_room(const JobRecord& r) const {
   constexpr size_t kAddedLater = 160;  // the times of the last start and of the cooldown, and the writer's mark
   constexpr size_t kPunctuation = 13;  // of [1, "n-000001", 1, 0] and the comma after it, beside its values
-  size_t longest_id = 0;
-  for (const auto& slot : slots) longest_id = std::max(longest_id, slot.machine.size());
-  const size_t placement = kPunctuation + digits(r.spec.tasks) + longest_id + digits(r.attempts + r.spec.tasks);
+  const size_t placement = kPunctuation + digits(r.spec.tasks) + longest_machine_id_ + digits(r.attempts + r.spec.tasks);
   const size_t taken = store::stored_size(to_json(r)) + kAddedLater;
   const auto limit = static_cast<size_t>(ctx_.settings.value_kb * 1024);
   if (taken < limit) return static_cast<uint32_t>((limit - taken) / placement);
   return r.placed.empty() ? 1 : 0;  // however long its description, one task at a time
 }
 
+size_t Owner::longest_machine_id() const {
+  size_t longest = 0;
+  for (const auto& [id, m] : machines_) longest = std::max(longest, id.size());
+  return longest;
+}
+
 uint32_t Owner::next_pending(const JobRecord& r, uint32_t from) const {
   for (uint32_t t = r.done.first_missing(from); t < r.spec.tasks; t = r.done.first_missing(t + 1))
     if (!r.placement_of(t)) return t;
@@ -240,7 +244,7 @@
   if (!may_join) return false;
   const uint32_t need = j.cur.spec.tasks - static_cast<uint32_t>(placed.size());
   // No word on the shape: a smaller gang of the same class may fit where this one does not.
-  if (placement_room(j.cur, slots) < need) return false;
+  if (placement_room(j.cur) < need) return false;
   const PlannedRoom used = room_for_gang(j, need, slots);
   if (used.empty()) {
     if (order_group(j.cur) == 0) hold_for(j);
@@ -265,7 +269,7 @@
 bool Owner::place_some(const std::string& id, OwnedJob& j, std::vector<Slot>& slots, bool& no_room) {
   if (j.cur.spec.kind == JobKind::gang) return place_gang(id, j, slots);
   ZoneCounts zones = zones_of(j.cur);
-  uint32_t room = placement_room(j.cur, slots);
+  std::optional<uint32_t> room;  // in the record; worked out once there is a place, as most that wait find none
   // A placement is conditioned on its machine's record, and a transaction takes four conditions an operation:
   // a large array on many machines was refused as malformed, and set aside for a lease, again and again.
   // What needs more machines goes on with the next write; the job's and the part's keys count, too.
@@ -275,18 +279,20 @@
   for (const auto& p : j.cur.placed)
     if (!durable || !durable->record.same_placement(p)) unwritten.insert(p.machine);
   bool any = false;
-  for (uint32_t t = next_pending(j.cur, 0); t < j.cur.spec.tasks && room > 0; t = next_pending(j.cur, t + 1)) {
+  for (uint32_t t = next_pending(j.cur, 0); t < j.cur.spec.tasks && room != 0U; t = next_pending(j.cur, t + 1)) {
     if (!within_limit(j.cur.spec.team, j.cur.spec.per_task)) break;
     Slot* slot = pick_for(j, zones, slots);
     no_room = slot == nullptr;
     if (no_room) break;
+    if (!room) room = placement_room(j.cur);
+    if (*room == 0) break;
     if (!unwritten.count(slot->machine) && unwritten.size() >= most_machines) break;
     unwritten.insert(slot->machine);
     place(j, t, slot->machine);
     slot->free.add(j.cur.spec.per_task, -1);
     slot->empty = false;
     zones[*slot->zone]++;
-    --room;
+    --*room;
     any = true;
   }
   if (any) {
@@ -298,18 +304,22 @@
 }
 
 // Jobs of the same placement class fit or don't fit alike. Empty: this one is like no other.
-std::string Owner::placement_class_of(const OwnedJob& j) const {
+std::string Owner::placement_class_of(OwnedJob& j) const {
   if (!j.avoid.empty()) return "";
   const auto& s = j.cur.spec;
-  const bool can_wait = can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall);
-  return s.job_class + "|" + s.team + "|" + (can_wait ? "w" : "") +
-         placement_shape(s, s.spread || s.one_zone ? zones_of(j.cur) : ZoneCounts{});
+  // Once a job: written anew for each job in each pass it was a quarter of a pass with thousands waiting.
+  if (j.shape.empty()) j.shape = s.job_class + "|" + s.team + "|" + placement_shape(s);
+  std::string result = j.shape;
+  if (can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall)) result += "|w";
+  if (s.spread || s.one_zone) result += zones_shape(zones_of(j.cur));
+  return result;
 }
 
 void Owner::schedule(int part) {
   end_hold(part);
   const auto jobs = waiting(part);
   if (jobs.empty()) return;
+  longest_machine_id_ = longest_machine_id();
   cpu_per_gpu_ = 0;
   for (const auto& [id, j] : jobs_)
     if (j.cur.spec.per_task.gpus > 0)
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -67,15 +67,19 @@
 
 bool kind_allowed(const JobSpec& spec, bool spot) { return !spot || spec.spot; }
 
-std::string placement_shape(const JobSpec& spec, const ZoneCounts& placed) {
+std::string placement_shape(const JobSpec& spec) {
   std::string shape = std::to_string(spec.per_task.cpus) + "|" + std::to_string(spec.per_task.gpus) + "|" +
                       std::to_string(spec.per_task.memory_gb) + "|" + (spec.spot ? "s" : "") +
                       (spec.spread ? "h" + std::to_string((spec.tasks + 1) / 2) : "") + (spec.one_zone ? "z" : "") +
                       spec.zone.value_or("");
   if (spec.types)
     for (const auto& type : *spec.types) shape += "|" + type;
-  if (spec.spread || spec.one_zone)
-    for (const auto& [zone, n] : placed) shape += "|" + zone + std::to_string(n);
+  return shape;
+}
+
+std::string zones_shape(const ZoneCounts& placed) {
+  std::string shape;
+  for (const auto& [zone, n] : placed) shape += "|" + zone + std::to_string(n);
   return shape;
 }
 
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -77,8 +77,10 @@
 bool zone_allowed(const store::JobSpec& spec, const std::string& zone, const ZoneCounts& placed);
 bool kind_allowed(const store::JobSpec& spec, bool spot);
 
-/// The same text for tasks that fit, or don't fit, alike: what they take and where they may run, beside those placed.
-std::string placement_shape(const store::JobSpec& spec, const ZoneCounts& placed);
+/// The same text for tasks that fit, or don't fit, alike: what they take and where they may run.
+std::string placement_shape(const store::JobSpec& spec);
+/// What placed tasks add to that, for jobs that are bound to one zone or spread over zones.
+std::string zones_shape(const ZoneCounts& placed);
 
 /// Seconds after its submission by which a job should be over: its deadline, its class's objective, or,
 /// with neither, three times its run.
