Slopes: seconds of a fleet with room, mixed jobs and a short budget of writes

Need: the slope by waiting jobs has jobs that wait in vain on one type of machine. This one has types with GPUs and without, services and arrays, 740 teams, and as many jobs as machines that wait for the budget of writes, as after the start of a large fleet.

--- a/bench/scale/local_controller.cpp
+++ b/bench/scale/local_controller.cpp
@@ -11,7 +11,11 @@
 constexpr double kWallOffset = 1e9;
 }  // namespace
 
-store::MachineType local_machine_type() { return {"mid", {6, 0, 64}, 100, 1, 1, 1, 30, {"a", "b"}}; }
+std::vector<store::MachineType> local_machine_types(bool with_gpus) {
+  std::vector<store::MachineType> types{{"mid", {6, 0, 64}, 100, 1, 1, 1, 30, {"a", "b"}}};
+  if (with_gpus) types.push_back({"gpu", {48, 8, 384}, 300, 4, 20, 8, 30, {"a", "b"}});
+  return types;
+}
 
 store::JobSpec local_job(int number, uint32_t tasks, int of_teams) {
   store::JobSpec s;
@@ -26,16 +30,18 @@
   return s;
 }
 
-LocalController::LocalController(int teams) {
+LocalController::LocalController(const Options& options) : options_(options) {
   settings_.node = "controller-0";
   settings_.nodes = 1;
   settings_.zones = {"a", "b"};
   constexpr double kEnough = 1e6;
-  for (int i = 0; i < teams; ++i) settings_.teams.push_back({"team-" + std::to_string(i), {10, 0, 0}, {kEnough, 0, 0}});
+  for (int i = 0; i < options.teams; ++i)
+    settings_.teams.push_back({"team-" + std::to_string(i), {10, 0, 0}, {kEnough, kEnough, 0}});
   settings_.report_s = 3;
   settings_.lease_s = 17.5;
   settings_.cancel_s = 42.5;
   settings_.state_rps = settings_.state_write_rps = kEnough;
+  if (options.writes_per_second > 0) settings_.state_write_rps = options.writes_per_second;
   settings_.value_kb = 16;
   settings_.txn_ops = 12;
   settings_.cloud_rps = kEnough;
@@ -45,7 +51,7 @@
   settings_.max_connections = 1000;
   state_.set_limits(settings_.value_kb, settings_.txn_ops);
   state_.set_history(10000);
-  state_.preset(store::types_key, Json{{"types", to_json(std::vector<store::MachineType>{local_machine_type()})}});
+  state_.preset(store::types_key, Json{{"types", to_json(local_machine_types(options.gpu_machines))}});
   core_ = std::make_unique<Core>(settings_, store::OperatorSettings{}, "incarnation", 1, LogLine::Level::error);
 }
 
@@ -58,7 +64,7 @@
 void LocalController::add_machine(int number) {
   store::MachineRecord r;
   r.id = r.address = machine_id(number);
-  r.type = "mid";
+  r.type = options_.gpu_machines && number % 4 >= 2 ? "gpu" : "mid";
   r.zone = number % 2 == 0 ? "a" : "b";
   r.since = kWallOffset;
   state_.preset(store::machine_key(r.id), to_json(r));
@@ -133,7 +139,7 @@
   if (const auto* command = std::get_if<CommandWorker>(&call.body)) {
     command_worker(*command, done);
   } else if (std::holds_alternative<GetTypes>(call.body)) {
-    done.reply = TypesReply{{local_machine_type()}};
+    done.reply = TypesReply{local_machine_types(options_.gpu_machines)};
   } else if (std::holds_alternative<RentMachines>(call.body)) {
     done.status = 503;
   } else if (std::holds_alternative<ListMachines>(call.body)) {
--- a/bench/scale/local_controller.h
+++ b/bench/scale/local_controller.h
@@ -13,8 +13,14 @@
 
 class LocalController {
  public:
-  /// Machines are of one type of 6 CPUs in two zones; `teams` share them without a limit that matters.
-  explicit LocalController(int teams);
+  struct Options {
+    int teams = 1;                 // which share the machines without a limit that matters
+    bool gpu_machines = false;     // every second machine is one with GPUs; else all are of one type of 6 CPUs
+    double writes_per_second = 0;  // of the state service; 0: enough
+  };
+  /// Machines stand in two zones.
+  explicit LocalController(const Options& options);
+  explicit LocalController(int teams) : LocalController(Options{teams, false, 0}) {}
 
   testing::StateService& state() { return state_; }
   coordination::Core& core() { return *core_; }
@@ -40,6 +46,7 @@
   void command_worker(const coordination::CommandWorker& command, coordination::CallDone& done);
   void work_off();
 
+  Options options_;
   store::Settings settings_;
   testing::StateService state_;
   std::unique_ptr<coordination::Core> core_;
@@ -50,7 +57,7 @@
   double now_ = 1000;
 };
 
-store::MachineType local_machine_type();
+std::vector<store::MachineType> local_machine_types(bool with_gpus);
 /// An array of tasks of one CPU.
 store::JobSpec local_job(int number, uint32_t tasks, int of_teams);
 
--- a/bench/scale/slopes.cpp
+++ b/bench/scale/slopes.cpp
@@ -184,6 +184,42 @@
   counted(count, [&](int) { controller.pass(1); });
 }
 
+/// Jobs of four shapes: services and arrays, with GPUs and without.
+store::JobSpec mixed_job(int number, int teams) {
+  store::JobSpec s = local_job(number, 8, teams);
+  s.team = "team-" + std::to_string(number / 4 % teams);
+  const bool gpus = number % 2 == 1;
+  if (gpus) s.per_task = {4, 1, 25};
+  if (number % 4 < 2) {
+    s.kind = store::JobKind::service;
+    s.rank = store::Rank::production;
+    s.spread = true;
+    s.tasks = 4;
+  } else {
+    s.spot = true;
+    s.checkpoint_s = 20;
+  }
+  s.job_class = "class-" + std::to_string(number % 4);
+  return s;
+}
+
+/// Seconds of a controller that holds everything and leads a fleet with room, while as many jobs as machines wait for the
+/// budget of writes.
+void fleet_seconds(int machines, int count) {
+  constexpr int kManyTeams = 740;
+  constexpr double kWritesPerSecond = 100;
+  LocalController controller(LocalController::Options{kManyTeams, true, kWritesPerSecond});
+  for (int i = 0; i < machines; ++i) controller.add_machine(i);
+  for (int i = 0; i < machines; ++i) {
+    store::JobRecord r;
+    r.spec = mixed_job(i, kManyTeams);
+    r.submitted = 1e9 + 1000;
+    controller.state().preset(store::job_key(r.spec.id), to_json(r));
+  }
+  controller.start();
+  counted(count, [&](int) { controller.pass(1); });
+}
+
 void start_up(int jobs, bool finished) {
   LocalController controller(kTeams);
   for (int i = 0; i < jobs; ++i) {
@@ -224,6 +260,7 @@
       {"poll", [&] { polls(size, count); }},
       {"second-by-waiting-jobs", [&] { seconds(size, 50, kTeams, count); }},
       {"second-by-machines", [&] { seconds(50, size, kTeams, count); }},
+      {"second-by-fleet", [&] { fleet_seconds(size, count); }},
       {"second-by-teams", [&] { seconds(50, 50, size, count); }},
       {"start-up-live", [&] { start_up(size, false); }},
       {"start-up-history", [&] { start_up(size, true); }}};
