The plan's machines are indexed: a place is found by a look at each group of like ones

Change: SlotIndex groups slots by type, zone, kind, use and free GPUs, each group ordered by free CPUs, and rolls back by a log of its changes, where a gang's trial copied all slots and the plan. Gives the same places as before.

--- a/src/coordination/capacity_planner.cpp
+++ b/src/coordination/capacity_planner.cpp
@@ -113,11 +113,11 @@
     s.empty = false;
     s.pinned = pinned_.count(machine.id) != 0;
   }
-  slots_.push_back(std::move(s));
+  slots_.add(s);
 }
 
 void CapacityPlanner::add_slots() {
-  slots_.clear();
+  slots_.reset(fit_.cpu_per_gpu);
   for (const auto& [id, m] : model_.present_machines())
     if (m->record.part == part_ && m->record.usable() && !without_->count(id) &&
         !overdue(m->record, model_, outlook_.up, ctx_.wall))
@@ -127,12 +127,12 @@
   if (const auto requested = outlook_.requested.find(part_); requested != outlook_.requested.end())
     for (const auto& kind : requested->second)
       if (const auto* type = model_.type(kind.type))
-        slots_.push_back({"", type, shared_zone(*type, kind.zone), kind.spot, type->size, true});
+        slots_.add({"", type, shared_zone(*type, kind.zone), kind.spot, type->size, true});
   slots_of_.clear();
-  for (const auto& slot : slots_) ++slots_of_[{slot.type->name, *slot.zone}];
+  for (size_t i = 0; i < slots_.size(); ++i) ++slots_of_[{slots_.at(i).type->name, *slots_.at(i).zone}];
   existing_ = slots_.size();
   was_empty_.assign(existing_, false);
-  for (size_t i = 0; i < existing_; ++i) was_empty_[i] = slots_[i].empty;
+  for (size_t i = 0; i < existing_; ++i) was_empty_[i] = slots_.at(i).empty;
 }
 
 // The same room is held here as the owner will hold, or what it turns away would find nothing rented.
@@ -175,10 +175,13 @@
 }
 
 bool CapacityPlanner::any_slot_may_take(const Request& request, size_t from) const {
-  return std::any_of(slots_.begin() + static_cast<long>(from), slots_.end(), [&](const Slot& slot) {
-    return request.spec.per_task.fits(slot.free) && kind_allowed(request.spec, slot.spot) &&
-           type_allowed(request.spec, slot.type->name);
-  });
+  for (size_t place = from; place < slots_.size(); ++place) {
+    const Slot& slot = slots_.at(place);
+    if (request.spec.per_task.fits(slot.free) && kind_allowed(request.spec, slot.spot) &&
+        type_allowed(request.spec, slot.type->name))
+      return true;
+  }
+  return false;
 }
 
 // The first task of a job. Where thousands of jobs of a few shapes wait in vain, each of them was tried on every slot: only
@@ -204,17 +207,17 @@
 
 // All of them, or nothing is taken and nothing wanted.
 bool CapacityPlanner::put_all(const Request& request, ZoneCounts zones, uint32_t tasks, CapacityPlan& plan) {
-  const auto slots_before = slots_;
+  const size_t changes_before = slots_.changes();
   const auto slots_of_before = slots_of_;
   const auto team_before = team_used_[request.spec.team];
-  const CapacityPlan plan_before = plan;
+  const auto wants_before = plan.wants;
   for (uint32_t i = 0; i < tasks; ++i) {
     if (put(request, zones, plan)) continue;
-    slots_ = slots_before;
+    slots_.undo_to(changes_before);
     slots_of_ = slots_of_before;
     team_used_[request.spec.team] = team_before;
     failures_.clear();  // room that they found taken is free again
-    plan.wants = plan_before.wants;
+    plan.wants = wants_before;
     return false;
   }
   return true;
@@ -247,8 +250,8 @@
 
 void CapacityPlanner::note_unused(CapacityPlan& plan) const {
   for (size_t i = 0; i < existing_; ++i)
-    if (was_empty_[i] && slots_[i].empty && !slots_[i].machine.empty() && model_.machine(slots_[i].machine))
-      plan.unused.push_back(slots_[i].machine);
+    if (was_empty_[i] && slots_.at(i).empty && !slots_.at(i).machine.empty() && model_.machine(slots_.at(i).machine))
+      plan.unused.push_back(slots_.at(i).machine);
 }
 
 void CapacityPlanner::note_unmet(const Request& request, const ZoneCounts& zones, CapacityPlan& plan) {
@@ -267,26 +270,22 @@
   if (!within(team, spec.per_task, settings.limit)) return false;
   // Work without GPUs takes what is beside them, then machines without, then what free GPUs
   // would need, and machines with GPUs only where nothing else is to be had.
-  Slot* slot = pick(spec, zones, slots_, fit_);
+  auto slot = slots_.pick(spec, zones, fit_);
   if (!slot && !request.may_rent) return false;
   bool rented = !slot && rent_slot(request, zones, false, plan);
   if (!slot && !rented && spec.per_task.gpus == 0) {
     Fit any = fit_;
     any.strand_gpus = true;
-    slot = pick(spec, zones, slots_, any);
+    slot = slots_.pick(spec, zones, any);
     rented = !slot && rent_slot(request, zones, true, plan);
   }
   if (!slot && !rented) {
     note_unmet(request, zones, plan);
     return false;
   }
-  if (slot) {
-    slot->free.add(spec.per_task, -1);
-  } else {
-    slot = &slots_.back();
-  }
-  slot->empty = false;
-  zones[*slot->zone]++;
+  if (!slot) slot = slots_.size() - 1;  // the one just rented
+  slots_.take(*slot, spec.per_task);
+  zones[*slots_.at(*slot).zone]++;
   team.add(spec.per_task);
   return true;
 }
@@ -325,9 +324,7 @@
   if (!type) return false;
   const auto zone = std::find(type->zones.begin(), type->zones.end(), kind.zone);
   if (zone == type->zones.end()) return false;
-  Slot slot{"", type, &*zone, kind.spot, type->size, true};
-  slot.free.add(request.spec.per_task, -1);
-  slots_.push_back(slot);
+  slots_.add({"", type, &*zone, kind.spot, type->size, true});
   ++slots_of_[{type->name, kind.zone}];
   auto want = std::find_if(plan.wants.begin(), plan.wants.end(),
                            [&](const MachineWant& w) { return w.part == part_ && w.kind == kind; });
@@ -340,7 +337,7 @@
 void CapacityPlanner::log_part() const {
   store::Resources free;
   store::Resources waiting;
-  for (size_t i = 0; i < existing_; ++i) free.add(slots_[i].free);
+  for (size_t i = 0; i < existing_; ++i) free.add(slots_.at(i).free);
   std::map<std::string, int> classes;
   for (const auto* r : waiting_) {
     waiting.add(r->spec.per_task, missing_tasks(*r));
--- a/src/coordination/capacity_planner.h
+++ b/src/coordination/capacity_planner.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "coordination/demand.h"
-#include "coordination/placement.h"
+#include "coordination/slot_index.h"
 
 namespace rushtrestle::coordination {
 
@@ -121,7 +121,7 @@
   // Of the part being planned.
   int part_ = 0;
   const std::set<std::string>* without_ = nullptr;
-  std::vector<Slot> slots_;
+  SlotIndex slots_;
   std::map<std::pair<std::string, std::string>, int> slots_of_;  // number by type and zone
   size_t existing_ = 0;                                          // the first slots_: machines that exist or were asked for
   std::vector<bool> was_empty_;                                  // of these
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -117,22 +117,40 @@
   return wall < r.submitted + (due_after_s(r.spec, settings) - 1.5 * r.spec.estimate_s) / 2;
 }
 
-namespace {
-/// GPUs of a slot that tasks with the usual CPUs beside them can take.
-double usable_gpus(const store::Resources& free, const Fit& fit) {
-  return fit.cpu_per_gpu > 0 ? std::min(free.gpus, free.cpus / fit.cpu_per_gpu) : free.gpus;
+double usable_gpus(const store::Resources& free, double cpu_per_gpu) {
+  return cpu_per_gpu > 0 ? std::min(free.gpus, free.cpus / cpu_per_gpu) : free.gpus;
+}
+
+std::optional<double> held_gpus(const Slot& slot, double left, const Reserve& reserve, double cpu_per_gpu) {
+  const double piece = std::max(1.0, reserve.gpus_per_task);
+  if (slot.spot || slot.free.gpus + store::Resources::kSlack < piece) return std::nullopt;
+  return std::max(piece, std::floor(std::min(left, usable_gpus(slot.free, cpu_per_gpu)) / piece) * piece);
 }
 
+double placement_score(const JobSpec& spec, const Slot& slot) {
+  const auto& size = slot.type->size;
+  double score = spec.spot && !slot.spot ? 30 : 0;
+  const double free_share = size.gpus > 0 && spec.per_task.gpus > 0 ? slot.free.gpus / size.gpus
+                            : size.cpus > 0                         ? slot.free.cpus / size.cpus
+                                                                    : 0;
+  score += 3 * free_share;
+  if (slot.empty) score += 3;
+  // Short work stays apart from work that lasts, so that whole machines can change hands.
+  if (spec.spot && !slot.spot && slot.pinned) score += 10;
+  if (!spec.spot && !slot.pinned) score += 2;
+  return score;
+}
+
+namespace {
 /// GPUs to be kept on each slot so that the reserve stands or, where there is too little room for it,
 /// comes to stand as work ends: on few machines, those that are nearest to it. Spread over all
 /// machines it would never be room for a large task.
 void hold_back(std::vector<Slot>& slots, const Fit& fit) {
-  const double piece = std::max(1.0, fit.reserve.gpus_per_task);
   std::vector<std::pair<double, Slot*>> nearest;
   for (auto& slot : slots) {
     slot.held_gpus = 0;
-    if (!slot.spot && slot.free.gpus + store::Resources::kSlack >= piece)
-      nearest.emplace_back(usable_gpus(slot.free, fit), &slot);
+    if (held_gpus(slot, 0, fit.reserve, fit.cpu_per_gpu))
+      nearest.emplace_back(usable_gpus(slot.free, fit.cpu_per_gpu), &slot);
   }
   // The reserve takes few of many machines: a heap, not all of them sorted. Equal ones in the picture's order.
   const auto farther = [](const auto& a, const auto& b) {
@@ -142,8 +160,8 @@
   double left = fit.reserve.gpus;
   for (auto end = nearest.end(); left > 0 && end != nearest.begin(); --end) {
     std::pop_heap(nearest.begin(), end, farther);
-    const auto& [usable, slot] = *(end - 1);
-    slot->held_gpus = std::max(piece, std::floor(std::min(left, usable) / piece) * piece);
+    Slot* slot = (end - 1)->second;
+    slot->held_gpus = held_gpus(*slot, left, fit.reserve, fit.cpu_per_gpu).value_or(0);
     left -= slot->held_gpus;
   }
 }
@@ -191,11 +209,10 @@
     if (bound && slot.held_gpus > 0) {
       store::Resources after = slot.free;
       after.add(spec.per_task, -1);
-      if (usable_gpus(after, fit) + store::Resources::kSlack < slot.held_gpus) continue;
+      if (usable_gpus(after, fit.cpu_per_gpu) + store::Resources::kSlack < slot.held_gpus) continue;
     }
-    // In seconds: fetches dominate starts. Work that may use spot machines leaves the others free;
-    // after that the fullest machine, so that the emptiest can be given back.
-    double score = 0;
+    // In seconds: fetches dominate starts.
+    double score = placement_score(spec, slot);
     if (fit.images && !holds(slot.images, image)) {
       const double fetch_s = spec.image_gb / std::max(0.01, slot.type->fetch_gb_per_s);
       score += fetch_s;
@@ -203,15 +220,6 @@
       // which no better packing is worth.
       if (fit.start_within_s > 0 && fetch_s > fit.start_within_s / 2) score += 20;
     }
-    if (spec.spot && !slot.spot) score += 30;
-    const double free_share = size.gpus > 0 && spec.per_task.gpus > 0 ? slot.free.gpus / size.gpus
-                              : size.cpus > 0                         ? slot.free.cpus / size.cpus
-                                                                      : 0;
-    score += 3 * free_share;
-    if (slot.empty) score += 3;
-    // Short work stays apart from work that lasts, so that whole machines can change hands.
-    if (spec.spot && !slot.spot && slot.pinned) score += 10;
-    if (!spec.spot && !slot.pinned) score += 2;
     if (!best || score < best_score) {
       best = &slot;
       best_score = score;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -93,6 +93,16 @@
 /// that its deadline (or its class's objective) leaves beside its run is not over.
 bool can_wait_for_spot(const store::JobRecord& r, const store::Settings& settings, double wall);
 
+/// GPUs of a slot that tasks with the usual CPUs beside them can take.
+double usable_gpus(const store::Resources& free, double cpu_per_gpu);
+
+/// Of a reserve of which `left` GPUs are not held yet, how many this slot holds; none: it is no place for one piece.
+std::optional<double> held_gpus(const Slot& slot, double left, const Reserve& reserve, double cpu_per_gpu);
+
+/// How badly a slot suits a task that fits there, images apart: work that may use spot machines leaves the others free;
+/// after that the fullest machine, so that the emptiest can be given back. The lowest is best.
+double placement_score(const store::JobSpec& spec, const Slot& slot);
+
 /// The best slot for one more task, or null.
 Slot* pick(const store::JobSpec& spec, const ZoneCounts& placed, std::vector<Slot>& slots, const Fit& fit);
 
--- /dev/null
+++ b/src/coordination/slot_index.cpp
@@ -0,0 +1,140 @@
+#include "coordination/slot_index.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rushtrestle::coordination {
+
+using store::JobSpec;
+using store::Resources;
+
+void SlotIndex::reset(double cpu_per_gpu) {
+  cpu_per_gpu_ = cpu_per_gpu;
+  slots_.clear();
+  groups_.clear();
+  by_usable_gpus_.clear();
+  changes_.clear();
+  held_ = {};
+}
+
+SlotIndex::GroupKey SlotIndex::key_of(const Slot& slot) {
+  return {slot.type, slot.zone, slot.spot, slot.empty, slot.pinned, slot.free.gpus};
+}
+
+void SlotIndex::insert(Place place) {
+  const Slot& slot = slots_[place];
+  Group& group = groups_[key_of(slot)];
+  group.by_cpus.emplace(slot.free.cpus, place);
+  group.places.insert(place);
+  if (!slot.spot && slot.free.gpus > 0) by_usable_gpus_.emplace(-usable_gpus(slot.free, cpu_per_gpu_), place);
+}
+
+void SlotIndex::erase(Place place) {
+  const Slot& slot = slots_[place];
+  const auto group = groups_.find(key_of(slot));
+  group->second.by_cpus.erase({slot.free.cpus, place});
+  group->second.places.erase(place);
+  if (group->second.places.empty()) groups_.erase(group);
+  if (!slot.spot && slot.free.gpus > 0) by_usable_gpus_.erase({-usable_gpus(slot.free, cpu_per_gpu_), place});
+}
+
+SlotIndex::Place SlotIndex::add(const Slot& slot) {
+  const Place place = slots_.size();
+  slots_.push_back(slot);
+  insert(place);
+  changes_.push_back({place, true});
+  held_.known = false;
+  return place;
+}
+
+void SlotIndex::take(Place place, const Resources& room) {
+  Slot& slot = slots_[place];
+  changes_.push_back({place, false, slot.free, slot.empty});
+  erase(place);
+  slot.free.add(room, -1);
+  slot.empty = false;
+  insert(place);
+  held_.known = false;
+}
+
+void SlotIndex::undo_to(size_t changes) {
+  while (changes_.size() > changes) {
+    const ChangeMade& last = changes_.back();
+    erase(last.place);
+    if (last.added) {
+      slots_.pop_back();
+    } else {
+      slots_[last.place].free = last.free_before;
+      slots_[last.place].empty = last.empty_before;
+      insert(last.place);
+    }
+    changes_.pop_back();
+  }
+  held_.known = false;
+}
+
+// As `pick` holds back: on the slots nearest to the reserve, so that it stands or comes to stand.
+void SlotIndex::hold_back(const Reserve& reserve) {
+  const bool same = held_.reserve.gpus == reserve.gpus && held_.reserve.gpus_per_task == reserve.gpus_per_task;
+  if (held_.known && same) return;
+  held_ = {true, reserve, {}};
+  double left = reserve.gpus;
+  for (auto it = by_usable_gpus_.begin(); left > 0 && it != by_usable_gpus_.end(); ++it) {
+    const auto held = held_gpus(slots_[it->second], left, reserve, cpu_per_gpu_);
+    if (!held) continue;
+    held_.gpus[it->second] = *held;
+    left -= *held;
+  }
+}
+
+bool SlotIndex::keeps_reserve(Place place, const JobSpec& spec) const {
+  const auto held = held_.gpus.find(place);
+  if (held == held_.gpus.end()) return true;
+  Resources after = slots_[place].free;
+  after.add(spec.per_task, -1);
+  return usable_gpus(after, cpu_per_gpu_) + Resources::kSlack >= held->second;
+}
+
+std::optional<SlotIndex::Place> SlotIndex::best_with_gpus(const Group& group, const JobSpec& spec, bool bound) const {
+  const double most_cpus = group.by_cpus.rbegin()->first;
+  if (most_cpus + Resources::kSlack < spec.per_task.cpus) return std::nullopt;
+  for (const Place place : group.places)
+    if (spec.per_task.fits(slots_[place].free) && (!bound || keeps_reserve(place, spec))) return place;
+  return std::nullopt;
+}
+
+std::optional<SlotIndex::Place> SlotIndex::best_without_gpus(const Group& group, const JobSpec& spec, double least_cpus,
+                                                             bool bound) const {
+  const double from = least_cpus - 2 * Resources::kSlack;  // what fits exactly is looked at below
+  for (auto it = group.by_cpus.lower_bound({from, 0}); it != group.by_cpus.end(); ++it) {
+    const Slot& slot = slots_[it->second];
+    if (slot.free.cpus + Resources::kSlack < least_cpus || !spec.per_task.fits(slot.free)) continue;
+    if (!bound || keeps_reserve(it->second, spec)) return it->second;
+  }
+  return std::nullopt;
+}
+
+std::optional<SlotIndex::Place> SlotIndex::pick(const JobSpec& spec, const ZoneCounts& placed, const Fit& fit) {
+  const bool bound = fit.reserve.gpus > 0 && (spec.per_task.gpus == 0 || spec.spot);
+  if (bound) hold_back(fit.reserve);
+  std::optional<Place> best;
+  double best_score = 0;
+  for (const auto& [key, group] : groups_) {
+    const auto& [type, zone, spot, empty, pinned, gpus] = key;
+    if (spec.per_task.gpus > gpus + Resources::kSlack || !kind_allowed(spec, spot) || (fit.spot_only && !spot) ||
+        !type_allowed(spec, type->name) || !zone_allowed(spec, *zone, placed))
+      continue;
+    const bool keeps_gpus = !fit.strand_gpus && spec.per_task.gpus == 0 && type->size.gpus > 0;
+    const double least_cpus = spec.per_task.cpus + (keeps_gpus ? gpus * cpu_per_gpu_ : 0);
+    const bool by_gpus = type->size.gpus > 0 && spec.per_task.gpus > 0;
+    const auto place = by_gpus ? best_with_gpus(group, spec, bound) : best_without_gpus(group, spec, least_cpus, bound);
+    if (!place) continue;
+    const double score = placement_score(spec, slots_[*place]);
+    if (best && (score > best_score || (score == best_score && *place > *best))) continue;
+    best = place;
+    best_score = score;
+  }
+  return best;
+}
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/src/coordination/slot_index.h
@@ -0,0 +1,78 @@
+// The machines of a plan, indexed so that the best place for a task is found without looking at all of them.
+#pragma once
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "coordination/placement.h"
+
+namespace rushtrestle::coordination {
+
+/// Gives the same place as `pick` over a list of the same slots, without images, avoided and held machines.
+///
+/// Slots that differ in nothing but their number, their free CPUs and their free memory form a group. Within a group the
+/// best place for a task without GPUs is the one with the fewest CPUs left, and for a task with GPUs the first one, so a
+/// look at each group is enough. The number of groups depends on types, zones and GPUs of a machine, not on machines.
+class SlotIndex {
+ public:
+  /// Number of a slot, in the order in which they were added.
+  using Place = size_t;
+
+  /// Forgets all slots. `cpu_per_gpu`: CPUs that a task with GPUs takes beside each.
+  void reset(double cpu_per_gpu);
+  Place add(const Slot& slot);
+  size_t size() const { return slots_.size(); }
+  const Slot& at(Place place) const { return slots_[place]; }
+
+  /// The best slot for one more task of the job, or none. `fit.cpu_per_gpu` must be that of `reset`.
+  std::optional<Place> pick(const store::JobSpec& spec, const ZoneCounts& placed, const Fit& fit);
+  /// A task is put there.
+  void take(Place place, const store::Resources& room);
+
+  /// Changes so far: slots added and tasks put.
+  size_t changes() const { return changes_.size(); }
+  /// Takes back the last changes, to the bit.
+  void undo_to(size_t changes);
+
+ private:
+  /// Type, zone, spot, empty, pinned, free GPUs.
+  using GroupKey = std::tuple<const store::MachineType*, const std::string*, bool, bool, bool, double>;
+  struct Group {
+    std::set<std::pair<double, Place>> by_cpus;  // free ones
+    std::set<Place> places;
+  };
+  struct ChangeMade {
+    Place place = 0;
+    bool added = false;
+    store::Resources free_before = {};
+    bool empty_before = true;
+  };
+  /// GPUs held back by place, as long as nothing changes.
+  struct HeldBack {
+    bool known = false;
+    Reserve reserve;
+    std::map<Place, double> gpus;
+  };
+
+  static GroupKey key_of(const Slot& slot);
+  void insert(Place place);
+  void erase(Place place);
+  void hold_back(const Reserve& reserve);
+  bool keeps_reserve(Place place, const store::JobSpec& spec) const;
+  std::optional<Place> best_with_gpus(const Group& group, const store::JobSpec& spec, bool bound) const;
+  std::optional<Place> best_without_gpus(const Group& group, const store::JobSpec& spec, double least_cpus,
+                                         bool bound) const;
+
+  double cpu_per_gpu_ = 0;
+  std::deque<Slot> slots_;
+  std::map<GroupKey, Group> groups_;
+  std::set<std::pair<double, Place>> by_usable_gpus_;  // ordinary slots with free GPUs: the negative number, place
+  std::vector<ChangeMade> changes_;
+  HeldBack held_;
+};
+
+}  // namespace rushtrestle::coordination
--- /dev/null
+++ b/tests/slot_index_test.cpp
@@ -0,0 +1,95 @@
+// The index of a plan's machines against the plain search over all of them.
+#include "coordination/slot_index.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace rushtrestle::testing {
+namespace {
+
+using namespace coordination;
+
+const std::vector<store::MachineType>& types() {
+  static const std::vector<store::MachineType> all = {{"small", {16, 0, 64}, 50, 1, 1, 0.4, 8, {"a", "b"}},
+                                                      {"large", {32, 0, 128}, 50, 1, 2, 0.8, 8, {"a", "b"}},
+                                                      {"gpu", {48, 8, 384}, 300, 4, 20, 7, 10, {"a", "b"}}};
+  return all;
+}
+
+Slot any_slot() {
+  const auto& type = types()[*rc::gen::inRange<size_t>(0, types().size())];
+  Slot slot{"", &type, &type.zones[*rc::gen::inRange<size_t>(0, 2)], *rc::gen::arbitrary<bool>(), type.size};
+  slot.empty = *rc::gen::arbitrary<bool>();
+  if (slot.empty) return slot;
+  slot.pinned = *rc::gen::arbitrary<bool>();
+  slot.free.cpus -= *rc::gen::inRange(0, static_cast<int>(type.size.cpus) + 1);
+  slot.free.gpus -= *rc::gen::inRange(0, static_cast<int>(type.size.gpus) + 1);
+  return slot;
+}
+
+store::JobSpec any_spec() {
+  store::JobSpec spec;
+  spec.per_task = {static_cast<double>(*rc::gen::inRange(1, 9)), static_cast<double>(*rc::gen::element(0, 0, 1, 2, 4)),
+                   static_cast<double>(*rc::gen::inRange(1, 40))};
+  spec.tasks = *rc::gen::inRange<uint32_t>(1, 9);
+  spec.spot = *rc::gen::arbitrary<bool>();
+  spec.spread = *rc::gen::arbitrary<bool>();
+  spec.one_zone = !spec.spread && *rc::gen::arbitrary<bool>();
+  if (*rc::gen::inRange(0, 4) == 0) spec.types = {"gpu"};
+  if (*rc::gen::inRange(0, 6) == 0) spec.zone = "b";
+  return spec;
+}
+
+Fit any_fit(double cpu_per_gpu) {
+  Fit fit;
+  fit.cpu_per_gpu = cpu_per_gpu;
+  fit.strand_gpus = *rc::gen::arbitrary<bool>();
+  fit.spot_only = *rc::gen::inRange(0, 4) == 0;
+  fit.reserve = {static_cast<double>(*rc::gen::element(0, 3, 8, 20, 200)), static_cast<double>(*rc::gen::element(1, 2, 4))};
+  return fit;
+}
+
+ptrdiff_t place_by_search(const store::JobSpec& spec, const ZoneCounts& zones, std::vector<Slot>& slots, const Fit& fit) {
+  const Slot* slot = pick(spec, zones, slots, fit);
+  return slot ? slot - slots.data() : -1;
+}
+
+RC_GTEST_PROP(SlotIndex, GivesThePlaceThatASearchOverAllSlotsGives, ()) {
+  const double cpu_per_gpu = *rc::gen::element(0.0, 4.0, 5.0);
+  SlotIndex index;
+  index.reset(cpu_per_gpu);
+  std::vector<Slot> slots;
+  const auto add = [&] {
+    slots.push_back(any_slot());
+    index.add(slots.back());
+  };
+  const int machines = *rc::gen::inRange(0, 25);
+  for (int i = 0; i < machines; ++i) add();
+  const int jobs = *rc::gen::inRange(1, 12);
+  for (int job = 0; job < jobs; ++job) {
+    const auto spec = any_spec();
+    const auto fit = any_fit(cpu_per_gpu);
+    ZoneCounts zones;
+    const size_t changes_before = index.changes();
+    const auto slots_before = slots;
+    for (uint32_t task = 0; task < spec.tasks; ++task) {
+      const ptrdiff_t expected = place_by_search(spec, zones, slots, fit);
+      const auto found = index.pick(spec, zones, fit);
+      RC_ASSERT((found ? static_cast<ptrdiff_t>(*found) : -1) == expected);
+      if (!found) break;
+      Slot& slot = slots[*found];
+      slot.free.add(spec.per_task, -1);
+      slot.empty = false;
+      index.take(*found, spec.per_task);
+      ++zones[*slot.zone];
+    }
+    if (*rc::gen::inRange(0, 3) == 0) {
+      index.undo_to(changes_before);
+      slots = slots_before;
+    }
+    if (*rc::gen::inRange(0, 3) == 0) add();
+  }
+}
+
+}  // namespace
+}  // namespace rushtrestle::testing
