A test of how the work of a plan grows counts the slots that are looked at

Need: guards against the square that count operations, not time. SlotIndex counts the groups and slots that it looks at; eight times the machines and tasks may take at most twelve times the looks. A search over all slots takes sixty-four times.

--- a/src/coordination/slot_index.cpp
+++ b/src/coordination/slot_index.cpp
@@ -80,6 +80,7 @@
   held_ = {true, reserve, {}};
   double left = reserve.gpus;
   for (auto it = by_usable_gpus_.begin(); left > 0 && it != by_usable_gpus_.end(); ++it) {
+    ++looked_at_;
     const auto held = held_gpus(slots_[it->second], left, reserve, cpu_per_gpu_);
     if (!held) continue;
     held_.gpus[it->second] = *held;
@@ -98,8 +99,10 @@
 std::optional<SlotIndex::Place> SlotIndex::best_with_gpus(const Group& group, const JobSpec& spec, bool bound) const {
   const double most_cpus = group.by_cpus.rbegin()->first;
   if (most_cpus + Resources::kSlack < spec.per_task.cpus) return std::nullopt;
-  for (const Place place : group.places)
+  for (const Place place : group.places) {
+    ++looked_at_;
     if (spec.per_task.fits(slots_[place].free) && (!bound || keeps_reserve(place, spec))) return place;
+  }
   return std::nullopt;
 }
 
@@ -107,6 +110,7 @@
                                                              bool bound) const {
   const double from = least_cpus - 2 * Resources::kSlack;  // what fits exactly is looked at below
   for (auto it = group.by_cpus.lower_bound({from, 0}); it != group.by_cpus.end(); ++it) {
+    ++looked_at_;
     const Slot& slot = slots_[it->second];
     if (slot.free.cpus + Resources::kSlack < least_cpus || !spec.per_task.fits(slot.free)) continue;
     if (!bound || keeps_reserve(it->second, spec)) return it->second;
@@ -120,6 +124,7 @@
   std::optional<Place> best;
   double best_score = 0;
   for (const auto& [key, group] : groups_) {
+    ++looked_at_;
     const auto& [type, zone, spot, empty, pinned, gpus] = key;
     if (spec.per_task.gpus > gpus + Resources::kSlack || !kind_allowed(spec, spot) || (fit.spot_only && !spot) ||
         !type_allowed(spec, type->name) || !zone_allowed(spec, *zone, placed))
--- a/src/coordination/slot_index.h
+++ b/src/coordination/slot_index.h
@@ -33,6 +33,9 @@
   /// A task is put there.
   void take(Place place, const store::Resources& room);
 
+  /// Groups and slots that were looked at so far: the work done, for tests of how it grows.
+  uint64_t looked_at() const { return looked_at_; }
+
   /// Changes so far: slots added and tasks put.
   size_t changes() const { return changes_.size(); }
   /// Takes back the last changes, to the bit.
@@ -73,6 +76,7 @@
   std::set<std::pair<double, Place>> by_usable_gpus_;  // ordinary slots with free GPUs: the negative number, place
   std::vector<ChangeMade> changes_;
   HeldBack held_;
+  mutable uint64_t looked_at_ = 0;
 };
 
 }  // namespace rushtrestle::coordination
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -292,8 +292,8 @@
   w.run_until(280);
   EXPECT_EQ(tasks_running(), kJobs * kTasks);
   EXPECT_TRUE(w.broken.empty()) << first(w);
-  // Each machine is rented, gets its address and goes or is offered; each job is accepted, placed, marked, and placed anew in
-  // the other zone: 768,617 turns, 31,606 puts of 7.2 million bytes and 357 calls when this was written.
+  // Each machine is rented, gets its address and goes or is offered; each job is accepted, placed, marked, and placed anew
+  // in the other zone: 768,617 turns, 31,606 puts of 7.2 million bytes and 357 calls when this was written.
   EXPECT_LE(w.work().turns, 1000000u);
   EXPECT_LE(w.work().writes, 40000u);
   EXPECT_LE(w.work().bytes_written, 10000000u);
--- a/tests/slot_index_test.cpp
+++ b/tests/slot_index_test.cpp
@@ -91,5 +91,33 @@
   }
 }
 
+// Looks at groups and slots for as many tasks as machines, of four shapes in turn, until the machines are full.
+uint64_t looked_at_to_fill(size_t machines, double reserved_gpus) {
+  SlotIndex index;
+  index.reset(4);
+  for (size_t i = 0; i < machines; ++i) {
+    const auto& type = types()[i % types().size()];
+    index.add({"", &type, &type.zones[i % 2], false, type.size});
+  }
+  const std::vector<store::Resources> shapes = {{2, 0, 5}, {4, 1, 25}, {8, 2, 50}, {3, 0, 10}};
+  for (size_t task = 0; task < 8 * machines; ++task) {
+    store::JobSpec spec;
+    spec.per_task = shapes[task % shapes.size()];
+    Fit fit;
+    fit.cpu_per_gpu = 4;
+    fit.reserve.gpus = reserved_gpus;
+    if (const auto place = index.pick(spec, {}, fit)) index.take(*place, spec.per_task);
+  }
+  return index.looked_at();
+}
+
+// A search over all machines for each task took the leader of 4,000 machines more than its share of a core.
+TEST(SlotIndex, TheWorkOfAPlanGrowsWithItsTasks) {
+  constexpr size_t kFew = 500;
+  constexpr uint64_t kTimes = 8;
+  EXPECT_LE(looked_at_to_fill(kFew * kTimes, 0), looked_at_to_fill(kFew, 0) * kTimes * 3 / 2);
+  EXPECT_LE(looked_at_to_fill(kFew * kTimes, 20), looked_at_to_fill(kFew, 20) * kTimes * 3 / 2);
+}
+
 }  // namespace
 }  // namespace rushtrestle::testing
