The queue of connections that wait to be accepted is as long as the server's connections

Cause: 256 connections may wait for a controller's next turn; a fleet that comes back at once after a restart or a cut has more workers a controller than that, and whoever finds no room tries again seconds later. Change: as many as the server may hold, and never fewer than before. Measured: Http.AWholeFleetMayConnectBetweenTwoTurns, 600 connections between two turns.

--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -19,6 +19,8 @@
 namespace {
 // A request line and its headers are short; whoever sends more is not one of ours.
 constexpr size_t kHeaderLimit = size_t{8} * 1024;
+// Connections that wait to be accepted.
+constexpr size_t kLeastWaiting = 256;
 
 sockaddr_in to_sockaddr(const Address& a) {
   sockaddr_in s{};
@@ -170,8 +172,11 @@
   int one = 1;
   setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   const sockaddr_in sa = to_sockaddr(at);
+  // All workers of a fleet may come back in one turn of a busy controller: whom the queue has no room for tries again
+  // only seconds later.
+  const int waiting = static_cast<int>(std::max(kLeastWaiting, limits.connections));
   if (listener_ < 0 || bind(listener_, reinterpret_cast<const sockaddr*>(&sa), sizeof sa) != 0 ||
-      listen(listener_, 256) != 0)
+      listen(listener_, waiting) != 0)
     throw std::runtime_error("cannot listen on " + text_of(at) + ": " + std::strerror(errno));
   loop_.watch(listener_, EPOLLIN, Loop::Priority::request, [this](uint32_t) { accept_all(); });
   sweep();
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <rapidcheck/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -124,6 +125,28 @@
   server.answer(hanging[0], 200, "late", "text/plain");  // its connection may be gone: no crash
 }
 
+// With room for 256 of them the other workers of a fleet that came back in one turn waited seconds for their next try.
+TEST(Http, AWholeFleetMayConnectBetweenTwoTurns) {
+  Loop loop;
+  const uint16_t port = free_port();
+  constexpr size_t kWorkers = 600;
+  HttpServer server(loop, parse_address("127.0.0.1:" + std::to_string(port)), {kWorkers, 1024, 60},
+                    [](ExchangeId, Message&&) {});
+  std::vector<pollfd> workers;
+  for (size_t i = 0; i < kWorkers; ++i) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    ASSERT_GE(fd, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    to.sin_port = htons(port);
+    connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to);
+    workers.push_back({fd, POLLOUT, 0});
+  }
+  EXPECT_EQ(poll(workers.data(), workers.size(), 0), static_cast<int>(kWorkers));  // the loop has not run
+  for (const auto& worker : workers) close(worker.fd);
+}
+
 TEST(Http, ARefusedConnectionHasNoStatus) {
   Loop loop;
   HttpClient client(loop, 8, 1024);
