--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -278,76 +278,79 @@
   return std::find(ranks.begin(), ranks.end(), spec.rank) != ranks.end();
 }
 
-// Exception to the design, which moves free machines only: where nothing is free and nothing can be
-// rented, a part whose teams run beyond their guarantees gives up machines that hold only work that
-// may be stopped. Cause and figures: docs/design.md.
-void Leader::reclaim(const std::vector<UnmetDemand>& unmet) {
-  if (unmet.empty() || !ctx_.operators.reclaim_guarantee) return;
-  struct Load {
-    int tasks = 0;
-    bool pinned = false;
-  };
-  std::map<std::string, Load> loads;
+Leader::Lending Leader::lending() const {
+  Lending l;
   std::map<std::string, store::Resources> used;
   for (const auto& id : model_.live_jobs()) {
     const auto& r = model_.job(id)->record;
     for (const auto& p : r.placed) {
-      auto& load = loads[p.machine];
+      auto& load = l.loads[p.machine];
       ++load.tasks;
       load.pinned |= !preemptible(r.spec);
     }
     // What waits counts, too: machines that still boot for work beyond the guarantee are the cheapest to give.
     if (r.status == JobStatus::open) used[r.spec.team].add(r.spec.per_task, r.spec.tasks - r.done.size());
   }
-  std::map<int, double> capacity, guaranteed;  // CPUs by part
   for (const auto& [id, m] : model_.present_machines())
     if (const auto* type = model_.type(m->record.type); type && m->record.usable())
-      capacity[m->record.part] += type->size.cpus;
-  for (const auto& t : ctx_.settings.teams) guaranteed[members_.part_of_team(t.name)] += t.guarantee.cpus;
-  std::set<int> lenders;
+      l.capacity[m->record.part] += type->size.cpus;
+  for (const auto& t : ctx_.settings.teams) l.guaranteed[members_.part_of_team(t.name)] += t.guarantee.cpus;
   for (const auto& t : ctx_.settings.teams)
     if (used[t.name].cpus > t.guarantee.cpus + store::Resources::kSlack ||
         used[t.name].gpus > t.guarantee.gpus + store::Resources::kSlack)
-      lenders.insert(members_.part_of_team(t.name));
+      l.lenders.insert(members_.part_of_team(t.name));
+  return l;
+}
+
+const MachineRecord* Leader::machine_to_reclaim(const UnmetDemand& u, Lending& l) const {
+  const MachineRecord* best = nullptr;
+  int fewest = 0;
+  for (const auto& [id, m] : model_.present_machines()) {
+    const auto& r = m->record;
+    const auto* type = model_.type(r.type);
+    if (!type || !r.usable() || r.part == u.part || !l.lenders.count(r.part) || l.taken.count(id) ||
+        l.capacity[r.part] - type->size.cpus < l.guaranteed[r.part] || !type_allowed(u.spec, r.type) ||
+        !kind_allowed(u.spec, r.spot) || !zone_allowed(u.spec, r.zone, u.zones) || capacity_for(u.spec, *type) <= 0)
+      continue;
+    const auto load = l.loads.find(id);
+    if (load != l.loads.end() && load->second.pinned) continue;
+    const int tasks = load == l.loads.end() ? 0 : load->second.tasks;
+    if (!best || tasks < fewest) {
+      best = &r;
+      fewest = tasks;
+    }
+  }
+  return best;
+}
+
+// Exception to the design, which moves free machines only: where nothing is free and nothing can be
+// rented, a part whose teams run beyond their guarantees gives up machines that hold only work that
+// may be stopped. Cause and figures: docs/design.md.
+void Leader::reclaim(const std::vector<UnmetDemand>& unmet) {
+  if (unmet.empty() || !ctx_.operators.reclaim_guarantee) return;
+  Lending l = lending();
   // What is already on its way counts, and only a few go at a time: the next plan sees the effect.
   std::map<int, int> coming;
   for (const auto& [id, m] : model_.present_machines())
     if (m->record.phase == MachinePhase::offered && m->record.next_part >= 0) coming[m->record.next_part]++;
   constexpr int kAtOnce = 2;
-  std::set<std::string> taken;
   // Looked for once: with thousands of jobs of a few shapes waiting, all machines were looked at for each of them.
   std::set<std::pair<int, std::string>> in_vain;
   for (const auto& u : unmet) {
     if (coming[u.part] >= kAtOnce) continue;
     const auto shape = std::make_pair(u.part, placement_shape(u.spec) + zones_shape(u.zones));
     if (in_vain.count(shape)) continue;
-    const store::Stamped<MachineRecord>* best = nullptr;
-    int fewest = 0;
-    for (const auto& [id, m] : model_.present_machines()) {
-      const auto& r = m->record;
-      const auto* type = model_.type(r.type);
-      if (!type || !r.usable() || r.part == u.part || !lenders.count(r.part) || taken.count(id) ||
-          capacity[r.part] - type->size.cpus < guaranteed[r.part] || !type_allowed(u.spec, r.type) ||
-          !kind_allowed(u.spec, r.spot) || !zone_allowed(u.spec, r.zone, u.zones) || capacity_for(u.spec, *type) <= 0)
-        continue;
-      const auto load = loads.find(id);
-      if (load != loads.end() && load->second.pinned) continue;
-      const int tasks = load == loads.end() ? 0 : load->second.tasks;
-      if (!best || tasks < fewest) {
-        best = m;
-        fewest = tasks;
-      }
-    }
+    const MachineRecord* best = machine_to_reclaim(u, l);
     if (!best) {
       in_vain.insert(shape);
       continue;
     }
-    taken.insert(best->record.id);
+    l.taken.insert(best->id);
     ++coming[u.part];
     ctx_.counters["guarantee_reclaims"]++;
-    ctx_.info("machine " + best->record.id + " with " + std::to_string(fewest) + " tasks goes back to part " +
+    ctx_.info("machine " + best->id + " with " + std::to_string(l.loads[best->id].tasks) + " tasks goes back to part " +
               std::to_string(u.part) + ", whose team " + u.spec.team + " is within its guarantee");
-    offer(best->record.id, u.part, true);
+    offer(best->id, u.part, true);
   }
 }
 
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -34,6 +34,17 @@
     double next_try = 0;
     bool in_flight = false;
   };
+  /// What parts could give to teams within their guarantees.
+  struct Lending {
+    struct Load {
+      int tasks = 0;
+      bool pinned = false;  // holds work that may not be stopped
+    };
+    std::map<std::string, Load> loads;           // by machine
+    std::map<int, double> capacity, guaranteed;  // CPUs by part
+    std::set<int> lenders;                       // parts with a team beyond its guarantee
+    std::set<std::string> taken;                 // machines, in this round
+  };
   struct Refused {
     double until = 0;
     double pause = 0;
@@ -49,6 +60,8 @@
   void share_unused(CapacityPlan& plan);
   void consolidate(const CapacityPlan& planned);
   void return_idle(const CapacityPlan& plan);
+  Lending lending() const;
+  const store::MachineRecord* machine_to_reclaim(const UnmetDemand& u, Lending& l) const;
   void reclaim(const std::vector<UnmetDemand>& unmet);
   void rent(std::vector<MachineWant> wants, std::vector<std::string> unused);
   void send_rental(Rental& r);
