--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
+
 namespace rushtrestle::transport {
 namespace {
 
@@ -140,7 +142,8 @@
     to.sin_family = AF_INET;
     to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     to.sin_port = htons(port);
-    connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to);
+    const int connected = connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to);
+    ASSERT_TRUE(connected == 0 || errno == EINPROGRESS);
     workers.push_back({fd, POLLOUT, 0});
   }
   EXPECT_EQ(poll(workers.data(), workers.size(), 0), static_cast<int>(kWorkers));  // the loop has not run
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -206,7 +206,7 @@
   } else if (auto* passed = std::get_if<AnswerRelayedReport>(&e)) {
     answer_peer(name, passed->request, passed->reply);
   } else if (auto* c = std::get_if<Call>(&e)) {
-    perform(n, nodes_[static_cast<size_t>(n)].generation, std::move(*c));
+    start_call(n, std::move(*c));
   } else if (auto* l = std::get_if<LogLine>(&e); l && options_.trace) {
     std::cerr << now_ << " " << name << " " << l->text << "\n";
   }
@@ -299,16 +299,19 @@
   return true;
 }
 
+void World::start_call(int n, Call&& c) {
+  Node& node = nodes_[static_cast<size_t>(n)];
+  const int generation = node.generation;
+  if (take_socket(node, c)) return perform(n, generation, std::move(c));
+  at(now_, [this, n, generation, id = c.id] {
+    if (nodes_[static_cast<size_t>(n)].generation == generation) deliver(n, CallDone{id, 0, {}});
+  });
+}
+
 void World::perform(int n, int generation, Call&& c) {
   const std::string name = node_name(n);
   const double deadline = now_ + c.timeout_s;
   const CallId id = c.id;
-  if (!take_socket(nodes_[static_cast<size_t>(n)], c)) {
-    at(now_, [this, n, generation, id] {
-      if (nodes_[static_cast<size_t>(n)].generation == generation) deliver(n, CallDone{id, 0, {}});
-    });
-    return;
-  }
   // Whatever comes first, an answer or the time-out, ends the call; the core ignores the second.
   const auto back = [this, n, generation](const std::string& from, CallDone&& d) {
     send(from, node_name(n), [this, n, generation, done = std::move(d)]() mutable {
--- a/tests/world.h
+++ b/tests/world.h
@@ -207,6 +207,7 @@
   void carry_out(int n, Effect&& e);
   void perform(int n, int generation, Call&& c);
   bool take_socket(Node& node, const Call& c);
+  void start_call(int n, Call&& c);
   CallDone at_state(int n, const Call& c);
   void check_value_sizes(const Txn& t);
   void watch(int n, int generation, const Call& c, double deadline);
