--- a/tests/world.h
+++ b/tests/world.h
@@ -259,6 +259,7 @@
   void count_usage(const Worker& w);
   void forget_usage(const std::string& machine);
   void check_quotas();
+  void recheck_quotas(const Worker& w);
   void check_start(const Worker& w, const std::string& job, uint32_t task, uint64_t attempt);
   void fail(const std::string& what);
 
--- a/tests/world_rules.cpp
+++ b/tests/world_rules.cpp
@@ -72,6 +72,17 @@
   for (const auto& [team, resources] : now) usage_[team].add(resources);
 }
 
+// What the count holds of tasks that ended elsewhere meanwhile is taken out before anything is called broken.
+void World::recheck_quotas(const Worker& w) {
+  count_usage(w);
+  const auto over = [this](const store::TeamSettings& team) {
+    const auto used = usage_.find(team.name);
+    return used != usage_.end() &&
+           (used->second.cpus > team.limit.cpus + 1e-6 || used->second.gpus > team.limit.gpus + 1e-6);
+  };
+  if (std::any_of(settings_.teams.begin(), settings_.teams.end(), over)) check_rules();
+}
+
 void World::check_quotas() {
   for (const auto& t : settings_.teams) {
     const auto used = usage_.find(t.name);
--- a/tests/world_workers.cpp
+++ b/tests/world_workers.cpp
@@ -79,14 +79,7 @@
       t.report.cause = ExitCause::stopped;
     }
   }
-  count_usage(w);
-  const auto over = [this](const auto& team) {
-    const auto used = usage_.find(team.name);
-    return used != usage_.end() &&
-           (used->second.cpus > team.limit.cpus + 1e-6 || used->second.gpus > team.limit.gpus + 1e-6);
-  };
-  // What the count holds of tasks that ended elsewhere meanwhile is taken out before anything is called broken.
-  if (std::any_of(settings_.teams.begin(), settings_.teams.end(), over)) check_rules();
+  recheck_quotas(w);
 }
 
 void World::execute(Worker& w, const std::vector<WorkerCommand>& commands) {
