A limit of 0 is no limit: the guests' jobs are accepted

Cause: a guest team stands in the settings with 0 for its guarantees and for its limits.

Change: 0 is read as no limit.

Test seen to fail with the guard taken out.

--- a/src/protocol/platform_settings.cpp
+++ b/src/protocol/platform_settings.cpp
@@ -26,12 +26,18 @@
   s.state = services.text("state");
 }
 
+// "A value of 0 means none" (DEPLOY): a team of guests has 0 for both, and its work is not to be refused for it.
+double limit_of(const Table& team, const char* key) {
+  const double stated = team.number(key, 0);
+  return stated > 0 ? stated : store::kNoLimit;
+}
+
 void read_teams(const Table& deployment, store::Settings& s) {
   for (const auto& t : deployment.list("teams")) {
     store::TeamSettings team;
     team.name = t.text("name");
     team.guarantee = {t.number("cpus", 0), t.number("gpus", 0), 0};
-    team.limit = {t.number("cpus_max", 0), t.number("gpus_max", 0), 0};
+    team.limit = {limit_of(t, "cpus_max"), limit_of(t, "gpus_max"), 0};
     s.teams.push_back(std::move(team));
   }
   if (s.teams.empty()) throw SettingsError("deployment.teams: none listed");
--- a/src/store/domain.h
+++ b/src/store/domain.h
@@ -1,6 +1,7 @@
 // What the service talks about: jobs, machines, settings. Plain data, no behaviour.
 #pragma once
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -46,9 +47,15 @@
   std::vector<std::string> zones;
 };
 
+/// The limit of a resource that the settings don't limit for a team.
+constexpr double kNoLimit = std::numeric_limits<double>::infinity();
+
 struct TeamSettings {
   std::string name;
-  Resources guarantee, limit;  // memory is not limited per team
+  Resources guarantee;
+  Resources limit;  // kNoLimit: none; memory is not limited per team
+  /// Guests have no guarantee: whatever they run is borrowed.
+  bool has_guarantee() const { return guarantee.cpus > 0 || guarantee.gpus > 0; }
 };
 
 struct Objective {
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -73,6 +73,14 @@
   EXPECT_DOUBLE_EQ(higher.value_kb, 4);
 }
 
+// A team of guests has 0 for everything: read as a limit of nothing, each of its jobs was refused for good.
+TEST(Settings, ALimitOfNothingIsNoLimit) {
+  const auto team = platform_settings("", "").teams.front();
+  EXPECT_DOUBLE_EQ(team.limit.cpus, 2);
+  EXPECT_EQ(team.limit.gpus, store::kNoLimit);
+  EXPECT_TRUE(team.has_guarantee());
+}
+
 TEST(Settings, NonsensicalLimitsAndGangTimesAreNamed) {
   const std::string next = "deployment.state.next";
   EXPECT_EQ(platform_fault("", "[deployment.state.next]\nvalue_kb = 0\n"), next + ".value_kb: must be above 0.000000");
