Guests are served after the others, and no ordinary machine is rented for their idle-time work

Change: an owner serves guests after all others and after the room for expected arrivals was set aside; so does the plan, whose wants for guests neither keep a machine nor hinder emptying one; guests' arrivals are no demand to be ready for; work of a guest of the lowest rank, without deadline or objective, uses spot machines and what is idle beside services, and begins anywhere after two minutes; no machine with GPUs is rented for guests' work without; within a rank jobs go by when they are due by their objective, too. Design: the exception's nature is the sharing's ("ours"), nothing is evicted by it.

--- a/src/coordination/capacity_planner.cpp
+++ b/src/coordination/capacity_planner.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "coordination/guests.h"
+
 namespace rushtrestle::coordination {
 
 using store::JobKind;
@@ -54,10 +56,11 @@
   without_ = &without;
   count_placed();
   add_slots();
-  std::sort(waiting_.begin(), waiting_.end(), [](const auto* a, const auto* b) {
-    if (a->spec.rank != b->spec.rank) return a->spec.rank > b->spec.rank;
-    return a->submitted < b->submitted;
-  });
+  for (auto* jobs : {&waiting_, &waiting_guests_})
+    std::sort(jobs->begin(), jobs->end(), [](const auto* a, const auto* b) {
+      if (a->spec.rank != b->spec.rank) return a->spec.rank > b->spec.rank;
+      return a->submitted < b->submitted;
+    });
   production_waits_ = std::any_of(waiting_.begin(), waiting_.end(), [&](const auto* r) { return !preemptible(r->spec); });
   if (logging_ && without.empty()) log_part();
   auto forecasts = demand_.expected(part_);
@@ -68,8 +71,9 @@
     for (auto& f : forecasts)
       if (!f.shape.spot) f.jobs *= kStays;
   hold_reserve(forecasts);
-  plan_waiting(plan);
+  plan_waiting(waiting_, plan);
   plan_spare(std::move(forecasts), plan);
+  plan_waiting(waiting_guests_, plan);  // what the others leave, and of what is expected of them
   note_unused(plan);
 }
 
@@ -79,7 +83,9 @@
   placed_tasks_.clear();
   team_used_.clear();
   waiting_.clear();
-  running_array_tasks_ = 0;
+  waiting_guests_.clear();
+  arrays_ = {};
+  guest_arrays_ = {};
   failures_.clear();
   fit_ = {};
   for (const auto& id : model_.live_jobs()) {
@@ -98,9 +104,11 @@
       if (!preemptible(r.spec)) pinned_.insert(p.machine);
       team_used_[r.spec.team].add(r.spec.per_task);
     }
-    if (r.spec.kind == JobKind::array) running_array_tasks_ += r.running();
+    const bool guest = ctx_.is_guest(r.spec.team);
+    if (r.spec.kind == JobKind::array) (guest ? guest_arrays_ : arrays_).running_tasks += r.running();
     if (r.spec.per_task.gpus > 0) fit_.cpu_per_gpu = std::max(fit_.cpu_per_gpu, r.spec.per_task.cpus / r.spec.per_task.gpus);
-    if (r.status == JobStatus::open && r.placed.size() - displaced + r.done.size() < r.spec.tasks) waiting_.push_back(&r);
+    if (r.status == JobStatus::open && r.placed.size() - displaced + r.done.size() < r.spec.tasks)
+      (guest ? waiting_guests_ : waiting_).push_back(&r);
   }
 }
 
@@ -141,9 +149,29 @@
   for (const auto* r : waiting_) keep_for(fit_.reserve, r->spec, missing_tasks(*r));
 }
 
-void CapacityPlanner::plan_waiting(CapacityPlan& plan) {
-  array_backlog_ = 0;
-  for (const auto* r : waiting_) plan_job(*r, plan);
+void CapacityPlanner::plan_waiting(const std::vector<const JobRecord*>& jobs, CapacityPlan& plan) {
+  for (const auto* r : jobs) plan_job(*r, plan);
+}
+
+// For guests that can wait, only spot machines are rented, and for none of them a machine whose GPUs would stand idle:
+// idle-time work on ordinary machines with GPUs cost forty times what it costs on the cheapest ones.
+CapacityPlanner::Request CapacityPlanner::request_for(const JobRecord& job, uint32_t need) {
+  Request request{job.spec, true, can_wait_for_spot(job, ctx_.settings, ctx_.wall), true};
+  const bool guest = ctx_.is_guest(job.spec.team);
+  if (guest) {
+    request.may_rent_gpus = false;
+    request.idle_room_only = takes_idle_room_only(job, ctx_);
+    request.spot_only |= request.idle_room_only;
+  }
+  if (job.spec.kind != JobKind::array || job.spec.estimate_s <= 0) return request;
+  // Work that ends by itself makes room: what gets its turn in time on the machines that are there
+  // needs no new ones.
+  ArrayTurns& arrays = guest ? guest_arrays_ : arrays_;
+  const double left = due_after_s(job.spec, ctx_.settings) - (ctx_.wall - job.submitted) - 1.3 * job.spec.estimate_s;
+  const double turns = arrays.running_tasks * std::max(0.0, left) / job.spec.estimate_s;
+  arrays.backlog += need;
+  request.may_rent = arrays.backlog > turns;
+  return request;
 }
 
 void CapacityPlanner::plan_job(const JobRecord& job, CapacityPlan& plan) {
@@ -156,15 +184,7 @@
     if (const auto* m = model_.machine(p.machine)) zones[m->record.zone]++;
   }
   const uint32_t need = std::min<uint32_t>(kMostTasks, job.spec.tasks - job.done.size() - placed);
-  Request request{job.spec, true, can_wait_for_spot(job, ctx_.settings, ctx_.wall), true};
-  if (job.spec.kind == JobKind::array && job.spec.estimate_s > 0) {
-    // Work that ends by itself makes room: what gets its turn in time on the machines that are there
-    // needs no new ones.
-    const double left = due_after_s(job.spec, ctx_.settings) - (ctx_.wall - job.submitted) - 1.3 * job.spec.estimate_s;
-    const double turns = running_array_tasks_ * std::max(0.0, left) / job.spec.estimate_s;
-    array_backlog_ += need;
-    request.may_rent = array_backlog_ > turns;
-  }
+  const Request request = request_for(job, need);
   if (job.spec.kind == JobKind::gang) {
     put_gang(request, zones, need, plan);
     return;
@@ -193,7 +213,8 @@
   const bool bound = fit_.reserve.gpus > 0 && (spec.per_task.gpus == 0 || spec.spot);
   if (bound) return put(request, zones, plan);
   const std::string shape = placement_shape(spec) + (spec.spread || spec.one_zone ? zones_shape(zones) : "") +
-                            (request.spot_only ? "|o" : "") + (request.may_rent ? "|r" : "");
+                            (request.spot_only ? "|o" : "") + (request.may_rent ? "|r" : "") +
+                            (request.may_rent_gpus ? "|g" : "") + (request.idle_room_only ? "|i" : "");
   auto& failure = failures_[shape];
   const bool tried = failure.slots_tried > 0 && !any_slot_may_take(request, failure.slots_tried);
   if (!tried && put(request, zones, plan)) {
@@ -211,6 +232,7 @@
   const auto slots_of_before = slots_of_;
   const auto team_before = team_used_[request.spec.team];
   const auto wants_before = plan.wants;
+  const auto guest_wants_before = plan.guest_wants;
   for (uint32_t i = 0; i < tasks; ++i) {
     if (put(request, zones, plan)) continue;
     slots_.undo_to(changes_before);
@@ -218,6 +240,7 @@
     team_used_[request.spec.team] = team_before;
     failures_.clear();  // room that they found taken is free again
     plan.wants = wants_before;
+    plan.guest_wants = guest_wants_before;
     return false;
   }
   return true;
@@ -231,7 +254,9 @@
   store::JobSpec bound = spec;
   for (const auto& zone : ctx_.settings.zones) {
     bound.zone = zone;
-    if (put_all({bound, request.urgent, request.spot_only, request.may_rent}, zones, tasks, plan)) return;
+    const Request in_zone{
+        bound, request.urgent, request.spot_only, request.may_rent, request.may_rent_gpus, request.idle_room_only};
+    if (put_all(in_zone, zones, tasks, plan)) return;
   }
 }
 
@@ -265,6 +290,7 @@
   const auto& spec = request.spec;
   // What is only expected must not hold an ordinary machine that it could do without.
   fit_.spot_only = request.spot_only && (production_waits_ || !request.urgent);
+  fit_.idle_room_only = request.idle_room_only;
   auto& team = team_used_[spec.team];
   const auto& settings = team_settings(spec.team);
   if (!within(team, spec.per_task, settings.limit)) return false;
@@ -277,7 +303,7 @@
     Fit any = fit_;
     any.strand_gpus = true;
     slot = slots_.pick(spec, zones, any);
-    rented = !slot && rent_slot(request, zones, true, plan);
+    rented = !slot && request.may_rent_gpus && rent_slot(request, zones, true, plan);
   }
   if (!slot && !rented) {
     note_unmet(request, zones, plan);
@@ -326,9 +352,10 @@
   if (zone == type->zones.end()) return false;
   slots_.add({"", type, &*zone, kind.spot, type->size, true});
   ++slots_of_[{type->name, kind.zone}];
-  auto want = std::find_if(plan.wants.begin(), plan.wants.end(),
-                           [&](const MachineWant& w) { return w.part == part_ && w.kind == kind; });
-  if (want == plan.wants.end()) want = plan.wants.insert(plan.wants.end(), MachineWant{part_, kind});
+  auto& wants = ctx_.is_guest(request.spec.team) ? plan.guest_wants : plan.wants;
+  auto want =
+      std::find_if(wants.begin(), wants.end(), [&](const MachineWant& w) { return w.part == part_ && w.kind == kind; });
+  if (want == wants.end()) want = wants.insert(wants.end(), MachineWant{part_, kind});
   ++(request.urgent ? want->urgent : want->spare);
   if (request.urgent) want->rank = std::max(want->rank, request.spec.rank);
   return true;
@@ -339,7 +366,9 @@
   store::Resources waiting;
   for (size_t i = 0; i < existing_; ++i) free.add(slots_.at(i).free);
   std::map<std::string, int> classes;
-  for (const auto* r : waiting_) {
+  std::vector<const JobRecord*> jobs = waiting_;
+  jobs.insert(jobs.end(), waiting_guests_.begin(), waiting_guests_.end());
+  for (const auto* r : jobs) {
     waiting.add(r->spec.per_task, missing_tasks(*r));
     classes[r->spec.job_class] += static_cast<int>(missing_tasks(*r));
   }
--- a/src/coordination/capacity_planner.h
+++ b/src/coordination/capacity_planner.h
@@ -38,7 +38,8 @@
 /// The plans of one or more parts.
 struct CapacityPlan {
   std::vector<MachineWant> wants;
-  std::vector<std::string> unused;  // machines
+  std::vector<MachineWant> guest_wants;  // for teams without a guarantee: no reason to keep a machine
+  std::vector<std::string> unused;       // machines
   std::vector<UnmetDemand> unmet;
 };
 
@@ -78,6 +79,13 @@
     bool urgent = false;
     bool spot_only = false;
     bool may_rent = true;
+    bool may_rent_gpus = true;  // machines with GPUs for work without
+    bool idle_room_only = false;
+  };
+  /// Arrays make room as their tasks end. Those of guests make it for guests.
+  struct ArrayTurns {
+    double running_tasks = 0;
+    double backlog = 0;  // tasks planned so far
   };
   struct TaskCounts {
     int ordinary = 0;
@@ -93,7 +101,8 @@
   void add_slots();
   void add_slot(const store::MachineRecord& machine);
   void hold_reserve(const std::vector<Demand::Forecast>& forecasts);
-  void plan_waiting(CapacityPlan& plan);
+  void plan_waiting(const std::vector<const store::JobRecord*>& jobs, CapacityPlan& plan);
+  Request request_for(const store::JobRecord& job, uint32_t need);
   void plan_job(const store::JobRecord& job, CapacityPlan& plan);
   bool put_all(const Request& request, ZoneCounts zones, uint32_t tasks, CapacityPlan& plan);
   void put_gang(const Request& request, const ZoneCounts& zones, uint32_t tasks, CapacityPlan& plan);
@@ -129,12 +138,13 @@
   std::set<std::string> pinned_;                                 // machines with work that may not be preempted
   std::map<std::string, TaskCounts> placed_tasks_;               // by class
   std::map<std::string, store::Resources> team_used_;
-  std::vector<const store::JobRecord*> waiting_;
-  std::map<std::string, Failure> failures_;  // by shape
+  std::vector<const store::JobRecord*> waiting_;         // of teams with a guarantee
+  std::vector<const store::JobRecord*> waiting_guests_;  // of the others
+  std::map<std::string, Failure> failures_;              // by shape
   Fit fit_;
   bool production_waits_ = false;
-  double running_array_tasks_ = 0;
-  double array_backlog_ = 0;
+  ArrayTurns arrays_;
+  ArrayTurns guest_arrays_;
 };
 
 }  // namespace rushtrestle::coordination
--- a/src/coordination/consolidator.cpp
+++ b/src/coordination/consolidator.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "coordination/guests.h"
+
 namespace rushtrestle::coordination {
 
 using store::JobStatus;
@@ -50,6 +52,9 @@
     if (members_.part_of_team(r.spec.team) != part) continue;
     for (const auto& p : r.placed) {
       auto& load = loads[p.machine];
+      // Saved and queued again: no ordinary machine is kept for it.
+      const auto* m = model_.machine(p.machine);
+      if (m && !m->record.spot && takes_idle_room_only(r, ctx_) && can_move(r.spec)) continue;
       load.used.add(r.spec.per_task);
       load.movable &= r.status == JobStatus::open && (can_move(r.spec) ? settled(r, p) : p.running);
       if (can_move(r.spec)) load.moved.push_back(&r.spec);
--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -68,6 +68,11 @@
     const auto it = teams_.find(name);
     return it == teams_.end() ? nullptr : &settings.teams[it->second];
   }
+  /// Guests have no guarantee: what they run is borrowed, and the others' expected work goes before it.
+  bool is_guest(const std::string& team_name) const {
+    const auto* known = team(team_name);
+    return known && !known->has_guarantee();
+  }
   const Tunables tune;
   const std::string incarnation;
   std::mt19937_64 rng;
--- a/src/coordination/demand.cpp
+++ b/src/coordination/demand.cpp
@@ -18,6 +18,8 @@
   const auto& rec = model_.job(id)->record;
   // Each job once: its first record has no attempts yet.
   if (rec.attempts > 0 || rec.final_state() || rec.submitted < ctx_.wall - ctx_.settings.lease_s) return;
+  // Spare room for a swarm of guests' jobs would be rented, and kept from those who have a guarantee.
+  if (ctx_.is_guest(rec.spec.team)) return;
   if (since_ == 0) since_ = ctx_.wall;
   auto& a = arrivals_[{members_.part_of_team(rec.spec.team), rec.spec.job_class}];
   if (!a.times.empty() && a.last.id == id) return;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -374,6 +374,7 @@
   CapacityPlan plan;
   for (int part = 0; part < members_.parts(); ++part) planner.plan_part(part, plan);
   const CapacityPlan planned = plan;
+  plan.wants.insert(plan.wants.end(), plan.guest_wants.begin(), plan.guest_wants.end());
   if (share_now) {
     next_share_ = ctx_.now + ctx_.operators.share_period_s;
     share_unused(plan);
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -53,8 +53,9 @@
     std::set<std::string> left;  // machines that its tasks have left since the last write: may forget them after it
     // When this owner saw the steps to the job's first whole run, for the log; 0: not seen.
     double adopted_at = 0, first_placed_at = 0, last_placed_at = 0, first_written_at = 0, whole_at = 0;
-    uint32_t fetches = 0;  // tasks placed where their image was not known to be
-    std::string shape;     // what its placement class says of its description, which never changes
+    uint32_t fetches = 0;               // tasks placed where their image was not known to be
+    std::string shape;                  // what its placement class says of its description, which never changes
+    std::optional<double> due_after_s;  // likewise, once it was looked at in waiting order
   };
   struct Machine {
     std::string id;
@@ -160,6 +161,8 @@
   std::string placement_class_of(OwnedJob& j) const;
   size_t longest_machine_id() const;
   void schedule(int part);
+  void serve_in_turn(const std::vector<OwnedJob*>& jobs, std::vector<Slot>& open_slots);
+  void set_expected_room_aside(int part, std::vector<Slot>& open_slots) const;
   void schedule_job(OwnedJob& j, std::vector<Slot>& open_slots, std::set<std::string>& without_room);
   double team_load(const std::string& team);
   bool place_gang(const std::string& id, OwnedJob& j, std::vector<Slot>& slots);
--- a/src/coordination/owner_scheduling.cpp
+++ b/src/coordination/owner_scheduling.cpp
@@ -1,6 +1,7 @@
 // Owner: which waiting job gets room next, and where.
 #include <algorithm>
 
+#include "coordination/guests.h"
 #include "coordination/owner.h"
 
 namespace rushtrestle::coordination {
@@ -13,10 +14,8 @@
 using store::Placement;
 
 namespace {
-// The users look at who has not begun after four minutes: in half of that a job has to begin by itself, then it goes first.
-constexpr double kMustBeginSeconds = 120;
 // Long enough for most work that ends by itself to end.
-constexpr double kHoldSeconds = kMustBeginSeconds;
+constexpr double kHoldSeconds = 120;
 }  // namespace
 
 std::vector<Slot> Owner::slots(int part) const {
@@ -53,6 +52,7 @@
   if (const GangHold* hold = hold_against(j)) fit.held = &hold->machines;
   fit.reserve = reserve_;
   fit.spot_only = production_waits_ && can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall);
+  fit.idle_room_only = takes_idle_room_only(j.cur, ctx_);
   const double within = start_within_s(j.cur.spec, ctx_.settings);
   if (ctx_.wall - j.cur.submitted < within) fit.start_within_s = within;
   return fit;
@@ -125,7 +125,8 @@
     const auto* durable = model_.job(id);
     if (j.part != part || ctx_.now < j.retry_at || !durable || durable->record.status != JobStatus::open) continue;
     const int group = order_group(j.cur);
-    entries.push_back({j.cur.spec.rank, group, j.cur.submitted + (group == 1 ? j.cur.spec.deadline_s.value_or(0) : 0), &j});
+    if (!j.due_after_s) j.due_after_s = due_after_s(j.cur.spec, ctx_.settings);
+    entries.push_back({j.cur.spec.rank, group, j.cur.submitted + (group == 1 ? *j.due_after_s : 0), &j});
   }
   // Stable: by id in the end, as the set is.
   std::stable_sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
@@ -141,7 +142,7 @@
 // Within a rank: what has waited too long to begin at all, then by deadline or age what can
 // still be in time, last what can't be (it would only make others late, too).
 int Owner::order_group(const JobRecord& r) const {
-  if (r.attempts == 0 && ctx_.wall - r.submitted > kMustBeginSeconds) return 0;
+  if (starves(r, ctx_.wall)) return 0;
   if (r.spec.deadline_s && ctx_.wall + r.spec.estimate_s > r.submitted + *r.spec.deadline_s) return 2;
   return 1;
 }
@@ -311,25 +312,37 @@
   if (j.shape.empty()) j.shape = s.job_class + "|" + s.team + "|" + placement_shape(s);
   std::string result = j.shape;
   if (can_wait_for_spot(j.cur, ctx_.settings, ctx_.wall)) result += "|w";
+  if (takes_idle_room_only(j.cur, ctx_)) result += "|i";
   if (s.spread || s.one_zone) result += zones_shape(zones_of(j.cur));
   return result;
 }
 
 void Owner::schedule(int part) {
   end_hold(part);
-  const auto jobs = waiting(part);
+  auto jobs = waiting(part);
   if (jobs.empty()) return;
   longest_machine_id_ = longest_machine_id();
   cpu_per_gpu_ = 0;
   for (const auto& [id, j] : jobs_)
     if (j.cur.spec.per_task.gpus > 0)
       cpu_per_gpu_ = std::max(cpu_per_gpu_, j.cur.spec.per_task.cpus / j.cur.spec.per_task.gpus);
+  const auto first_guest =
+      std::stable_partition(jobs.begin(), jobs.end(), [&](const OwnedJob* j) { return !ctx_.is_guest(j->cur.spec.team); });
+  const std::vector<OwnedJob*> guests(first_guest, jobs.end());
+  jobs.erase(first_guest, jobs.end());
   reserve_for_arrivals(part, jobs);
-  // A queue for each team, served in turn by shares: who has least of its guarantee is next.
+  auto open_slots = slots(part);
+  serve_in_turn(jobs, open_slots);
+  if (guests.empty()) return;
+  set_expected_room_aside(part, open_slots);
+  serve_in_turn(guests, open_slots);
+}
+
+// A queue for each team, served in turn by shares: who has least of its guarantee is next.
+void Owner::serve_in_turn(const std::vector<OwnedJob*>& jobs, std::vector<Slot>& open_slots) {
   std::map<std::string, std::vector<OwnedJob*>> queues;
   for (OwnedJob* j : jobs) queues[j->cur.spec.team].push_back(j);
   std::map<std::string, size_t> next;
-  auto open_slots = slots(part);
   std::set<std::pair<double, std::string>> turns;  // load and name of those with jobs left
   for (const auto& [name, queue] : queues) turns.emplace(team_load(name), name);
   // Placement classes that did not fit in this pass need not be tried again.
@@ -343,7 +356,23 @@
   }
 }
 
-// What the team uses, as a part of its guarantee and by its share.
+// Guests' long work filled the spare room, and a gateway that came after it waited for a machine to boot.
+void Owner::set_expected_room_aside(int part, std::vector<Slot>& open_slots) const {
+  Fit fit;
+  fit.cpu_per_gpu = cpu_per_gpu_;
+  for (const auto& forecast : demand_.expected(part))
+    for (int i = 0; i < forecast.jobs; ++i) {
+      ZoneCounts zones;
+      for (uint32_t task = 0; task < forecast.shape.tasks; ++task) {
+        Slot* slot = pick(forecast.shape, zones, open_slots, fit);
+        if (!slot) break;
+        slot->free.add(forecast.shape.per_task, -1);
+        zones[*slot->zone]++;
+      }
+    }
+}
+
+// What the team uses, as a part of its guarantee and by its share; guests among themselves, by what they use.
 double Owner::team_load(const std::string& team) {
   const auto* t = ctx_.team(team);
   if (!t) return 1e9;
@@ -351,6 +380,7 @@
   double share = 1;
   for (const auto& [name, s] : ctx_.operators.team_shares)
     if (name == team) share = s;
+  if (!t->has_guarantee()) return std::max(used.cpus, used.gpus) / share;
   return std::max(t->guarantee.cpus > 0 ? used.cpus / t->guarantee.cpus : 0,
                   t->guarantee.gpus > 0 ? used.gpus / t->guarantee.gpus : 0) /
          share;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -196,6 +196,7 @@
   double best_score = 0;
   for (auto& slot : slots) {
     if (!spec.per_task.fits(slot.free) || !kind_allowed(spec, slot.spot) || (fit.spot_only && !slot.spot) ||
+        (fit.idle_room_only && !slot.spot && !slot.pinned) ||
         !types(slot.type, [&] { return type_allowed(spec, slot.type->name); }) ||
         !zones(slot.zone, [&] { return zone_allowed(spec, *slot.zone, placed); }))
       continue;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -69,6 +69,7 @@
   bool strand_gpus = false;                      // may CPU work take what free GPUs need?
   Reserve reserve = {};                          // binds work without GPUs and work that may use spot machines
   bool spot_only = false;                        // work that can wait leaves ordinary machines to work that needs them
+  bool idle_room_only = false;                   // on spot machines and beside work that lasts
   double start_within_s = 0;                     // when it should run by its objective; 0: no matter, or too late
 };
 
--- a/src/coordination/slot_index.cpp
+++ b/src/coordination/slot_index.cpp
@@ -173,7 +173,7 @@
     ++looked_at_;
     const auto& [type, zone, spot, empty, pinned, gpus] = key;
     if (spec.per_task.gpus > gpus + Resources::kSlack || !kind_allowed(spec, spot) || (fit.spot_only && !spot) ||
-        !type_allowed(spec, type->name) || !zone_allowed(spec, *zone, placed))
+        (fit.idle_room_only && !spot && !pinned) || !type_allowed(spec, type->name) || !zone_allowed(spec, *zone, placed))
       continue;
     const bool keeps_gpus = !fit.strand_gpus && spec.per_task.gpus == 0 && type->size.gpus > 0;
     const double least_cpus = spec.per_task.cpus + (keeps_gpus ? gpus * cpu_per_gpu_ : 0);
