Whose fault a failed task is: a job with a mistake condemns no machine, a bad machine slows no job

And the job's backoff counted failed tasks, so one bad machine that failed four tasks of an array set the whole array aside; a machine that a job avoided was avoided until its next setback.

Change: `fault_attribution`, pure: a job that failed on two machines and completed nothing fails everywhere, and its failures say nothing of machines; a machine is suspect with two other jobs failing on it, faulty when one of these is known to run elsewhere; a suspect gets no work and is judged again as its jobs are tried elsewhere, and given up after two leases. An array that fails everywhere is tried with one task at a time, with backoff, one setback for all tasks that fail side by side. What a job avoids it avoids for two leases. Not known to a new owner, as before (docs/limits.md).

--- /dev/null
+++ b/src/coordination/fault_attribution.h
@@ -0,0 +1,27 @@
+// A task failed: is it the job's fault or the machine's? A job that was submitted with a mistake fails on every machine, a
+// faulty machine fails every job. Pure: the owner keeps the evidence and acts on the verdict.
+#pragma once
+#include <cstddef>
+#include <vector>
+
+namespace rushtrestle::coordination {
+
+/// A job of which a task failed on the machine in question since that machine last completed a task.
+struct FailedJob {
+  bool vouched = false;           // known to run elsewhere: it completed tasks, or its replicas have run for a lease
+  size_t machines_failed_on = 0;  // this one included; since the job last completed a task
+};
+
+enum class MachineVerdict {
+  healthy,
+  suspect,  // gets no more work until its jobs' next tries tell whose fault it was
+  faulty
+};
+
+/// Does the job fail wherever it is tried, as far as is known? Its failures then say nothing of machines.
+bool fails_everywhere(const FailedJob& job);
+
+/// Different jobs that fail on a machine point to it, but only those that don't fail everywhere.
+MachineVerdict judge_machine(const std::vector<FailedJob>& failed);
+
+}  // namespace rushtrestle::coordination
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "coordination/demand.h"
+#include "coordination/fault_attribution.h"
 #include "coordination/gang_hold.h"
 #include "coordination/gang_lifecycle.h"
 #include "coordination/placement.h"
@@ -48,8 +49,10 @@
     uint64_t unsettled_stamp = 0;
     std::optional<WritePriority> queued_priority;  // of its write that waits
     double retry_at = 0;
-    int failures = 0;
-    std::set<std::string> avoid;
+    std::set<std::string> failed_on;  // machines, since a task of it was last completed
+    int setbacks = 0;                 // times that it was set aside because it fails everywhere
+    std::set<std::string> avoid;      // machines, until avoid_until
+    double avoid_until = 0;
     std::set<std::string> left;  // machines that its tasks have left since the last write: may forget them after it
     // When this owner saw the steps to the job's first whole run, for the log; 0: not seen.
     double adopted_at = 0, first_placed_at = 0, last_placed_at = 0, first_written_at = 0, whole_at = 0;
@@ -81,7 +84,9 @@
     // later, as long as the worker has seen no token above this one.
     uint64_t uncertain = 0;
     std::set<std::string> failed_jobs;
-    bool quarantined = false;
+    MachineVerdict verdict = MachineVerdict::healthy;
+    double suspect_since = 0;
+    bool quarantined() const { return verdict != MachineVerdict::healthy; }
     TasksOnMachine placed;
     int pinned = 0;  // of these, not preemptible
     store::Resources used;
@@ -135,6 +140,10 @@
   bool start_absent(Machine& m, const std::set<TaskKey>& present, std::vector<WorkerCommand>& commands);
   void log_first_run(OwnedJob& j);
   void task_ended(Machine& m, OwnedJob& j, const ReportedTask& t);
+  void task_failed(Machine& m, OwnedJob& j);
+  bool vouched(const OwnedJob& j) const;
+  bool on_probation(const OwnedJob& j) const;
+  void judge(Machine& m);
   void direct(Machine& m);
   void send_commands(Machine& m, std::vector<WorkerCommand> commands, bool has_start);
   void commands_answered(const std::string& id, uint64_t used_token, bool has_start, const CallDone& d);
--- a/src/coordination/owner_health.cpp
+++ b/src/coordination/owner_health.cpp
@@ -12,6 +12,11 @@
 using store::MachineRecord;
 using store::Placement;
 
+namespace {
+// A job that failed on a suspect machine is tried elsewhere in that time, in worker leases.
+constexpr double kDoubtLeases = 2;
+}  // namespace
+
 void Owner::count_silent() {
   silence_.clear();
   for (const auto& [id, m] : machines_) {
@@ -43,7 +48,11 @@
 void Owner::check_health(Machine& m) {
   const auto* record = model_.machine(m.id);
   if (!record || record->record.doomed()) return;
-  if (m.quarantined && m.placed.empty()) return condemn(m, "faulty");
+  if (m.verdict == MachineVerdict::suspect) judge(m);  // jobs may have been vouched for, or called off, meanwhile
+  const bool out_of_doubt =
+      m.verdict == MachineVerdict::faulty ||
+      (m.verdict == MachineVerdict::suspect && ctx_.now - m.suspect_since > ctx_.settings.lease_s * kDoubtLeases);
+  if (out_of_doubt && m.placed.empty()) return condemn(m, "faulty");
   if (m.address.empty()) {
     const auto* type = model_.type(record->record.type);
     const double patience = (type ? type->boot_s : ctx_.settings.lease_s) * Tunables::kBootPatience + ctx_.settings.lease_s;
--- a/src/coordination/owner_scheduling.cpp
+++ b/src/coordination/owner_scheduling.cpp
@@ -22,7 +22,7 @@
   std::vector<Slot> out;
   for (const auto& [id, m] : machines_) {
     const auto* record = model_.machine(id);
-    if (m.part != part || !record || !record->record.usable() || !m.known || m.quarantined || m.notice_s || m.condemning ||
+    if (m.part != part || !record || !record->record.usable() || !m.known || m.quarantined() || m.notice_s || m.condemning ||
         m.writing || m.direct_failing_since > 0 || !reports(m))
       continue;
     const auto* type = model_.type(record->record.type);
@@ -124,6 +124,7 @@
     OwnedJob& j = jobs_.at(id);
     const auto* durable = model_.job(id);
     if (j.part != part || ctx_.now < j.retry_at || !durable || durable->record.status != JobStatus::open) continue;
+    if (ctx_.now > j.avoid_until) j.avoid.clear();
     const int group = order_group(j.cur);
     if (!j.due_after_s) j.due_after_s = due_after_s(j.cur.spec, ctx_.settings);
     entries.push_back({j.cur.spec.rank, group, j.cur.submitted + (group == 1 ? *j.due_after_s : 0), &j});
@@ -197,7 +198,7 @@
   for (const auto& [id, m] : machines_) {
     const auto* record = model_.machine(id);
     const auto* type = record ? model_.type(record->record.type) : nullptr;
-    if (m.part != j.part || !type || !record->record.usable() || !m.known || m.quarantined || !reports(m)) continue;
+    if (m.part != j.part || !type || !record->record.usable() || !m.known || m.quarantined() || !reports(m)) continue;
     RoomToCome r{id, record->record.zone, record->record.type, record->record.spot, type->size};
     for (const auto& [key, attempt] : m.placed) {
       const auto& spec = jobs_.at(key.first).cur.spec;
@@ -279,8 +280,10 @@
   const auto* durable = model_.job(id);
   for (const auto& p : j.cur.placed)
     if (!durable || !durable->record.same_placement(p)) unwritten.insert(p.machine);
+  const size_t most_placed = on_probation(j) ? 1 : j.cur.spec.tasks;
   bool any = false;
-  for (uint32_t t = next_pending(j.cur, 0); t < j.cur.spec.tasks && room != 0U; t = next_pending(j.cur, t + 1)) {
+  for (uint32_t t = next_pending(j.cur, 0); t < j.cur.spec.tasks && room != 0U && j.cur.placed.size() < most_placed;
+       t = next_pending(j.cur, t + 1)) {
     if (!within_limit(j.cur.spec.team, j.cur.spec.per_task)) break;
     Slot* slot = pick_for(j, zones, slots);
     no_room = slot == nullptr;
--- a/src/coordination/owner_workers.cpp
+++ b/src/coordination/owner_workers.cpp
@@ -199,7 +199,6 @@
 }
 
 void Owner::task_ended(Machine& m, OwnedJob& j, const ReportedTask& t) {
-  constexpr int kFree = 3;
   const std::string id = j.cur.spec.id;
   unplace(j, t.task);
   // A member that was refused never joined its attempt, and is replaced. Any other end is the end of the attempt: it
@@ -214,22 +213,11 @@
         for (uint32_t task = 0; task < j.cur.spec.tasks; ++task) j.cur.done.insert(task);
       update_pending(j);
       m.failed_jobs.clear();
+      judge(m);
+      j.failed_on.clear();
+      j.setbacks = 0;
       break;
-    case ExitCause::error:
-      ctx_.counters["task_errors"]++;
-      m.failed_jobs.insert(id);
-      if (!m.quarantined && static_cast<int>(m.failed_jobs.size()) >= Tunables::kFaultyJobs) {
-        m.quarantined = true;
-        ctx_.info("machine " + m.id + " quarantined: tasks of different jobs fail on it");
-      }
-      j.avoid.insert(m.id);
-      ++j.failures;
-      // The first failures may be the machines'; a job that fails everywhere waits longer and longer.
-      if (j.failures > kFree) {
-        j.retry_at = ctx_.now + ctx_.jitter(ctx_.settings.report_s * std::pow(2.0, std::min(j.failures - kFree, 5)));
-        j.avoid.clear();
-      }
-      break;
+    case ExitCause::error: task_failed(m, j); break;
     case ExitCause::no_room:
     case ExitCause::busy:
     case ExitCause::unknown:
@@ -245,6 +233,55 @@
   mark(id, cause_of_end(j));
 }
 
+// With a third of the arrays submitted with a mistake, 104 healthy machines were condemned in ten minutes: each failure
+// counted against the machine. And a healthy array was set aside for the tasks that one bad machine had failed.
+void Owner::task_failed(Machine& m, OwnedJob& j) {
+  ctx_.counters["task_errors"]++;
+  m.failed_jobs.insert(j.cur.spec.id);
+  j.failed_on.insert(m.id);
+  j.avoid.insert(m.id);
+  j.avoid_until = ctx_.now + ctx_.settings.lease_s * 2;
+  judge(m);
+  if (!fails_everywhere({vouched(j), j.failed_on.size()})) return;
+  // Its tasks fail side by side: one setback for all of them.
+  if (ctx_.now >= j.retry_at) {
+    constexpr int kMostDoublings = 5;
+    j.setbacks = std::min(j.setbacks + 1, kMostDoublings);
+    j.retry_at = ctx_.now + ctx_.jitter(ctx_.settings.report_s * std::pow(2.0, j.setbacks));
+    j.avoid.clear();
+  }
+  // What it was blamed for elsewhere is blamed on it.
+  for (const auto& id : j.failed_on)
+    if (Machine* other = machine(id)) judge(*other);
+}
+
+// Known to run: an array that has completed a task, a service or gang that has run for a worker's lease.
+bool Owner::vouched(const OwnedJob& j) const {
+  if (j.cur.done.size() > 0) return true;
+  return j.cur.spec.kind != JobKind::array && j.cur.running() > 0 && ctx_.wall - j.cur.last_start > ctx_.settings.lease_s;
+}
+
+// An array that fails everywhere is tried with one task at a time: what it costs is bounded.
+bool Owner::on_probation(const OwnedJob& j) const {
+  return j.cur.spec.kind == JobKind::array && fails_everywhere({vouched(j), j.failed_on.size()});
+}
+
+void Owner::judge(Machine& m) {
+  std::vector<FailedJob> failed;
+  for (const auto& id : m.failed_jobs) {
+    const auto* j = job(id);
+    const auto* finished = model_.finished_job(id);
+    if (j) failed.push_back({vouched(*j), j->failed_on.size()});
+    if (!j && finished && finished->status == JobStatus::done) failed.push_back({true, 1});
+  }
+  const auto before = std::exchange(m.verdict, judge_machine(failed));
+  if (before == m.verdict) return;
+  if (before == MachineVerdict::healthy) m.suspect_since = ctx_.now;
+  want_schedule_ = true;
+  ctx_.info("machine " + m.id +
+            (m.quarantined() ? " quarantined: tasks of different jobs fail on it" : " is trusted again"));
+}
+
 // One line a job: where the time went until all its tasks ran.
 void Owner::log_first_run(OwnedJob& j) {
   if (j.adopted_at == 0 || j.whole_at != 0 || j.cur.running() + j.cur.done.size() < j.cur.spec.tasks) return;
--- a/tests/world.h
+++ b/tests/world.h
@@ -79,6 +79,7 @@
   void kill_machine(size_t pick);
   void kill_zone(const std::string& zone);  // all its machines that are up
   void sicken_machine_of(const std::string& job, double for_s);
+  void break_job(const std::string& job) { jobs_.at(job).broken = true; }  // its tasks fail on every machine
   // The controller that holds the part of the job's team.
   std::optional<int> owner_of(const std::string& job) const;
   void kill_owner_of(const std::string& job, double back_after_s);
@@ -184,6 +185,7 @@
   struct Job {
     store::JobSpec spec;
     bool refused_for_good = false;
+    bool broken = false;
     bool submitted = false, accepted = false, user_cancelled = false, cancel_told = false, done_told = false;
     double cancel_told_at = 0, first_submit = 0;
     std::optional<std::string> last_told;
--- a/tests/world_workers.cpp
+++ b/tests/world_workers.cpp
@@ -38,7 +38,7 @@
       t.gathered_at = now_;
       w.images.insert(spec.image);
       check_start(w, key.first, key.second, t.report.attempt);
-      if (now_ < w.sick_until) {
+      if (now_ < w.sick_until || jobs_.at(key.first).broken) {
         t.report.state = TaskState::exited;
         t.report.cause = ExitCause::error;
       }
@@ -49,7 +49,7 @@
       t.last_step = now_;
       w.images.insert(spec.image);
       check_start(w, key.first, key.second, t.report.attempt);
-      if (now_ < w.sick_until) {
+      if (now_ < w.sick_until || jobs_.at(key.first).broken) {
         t.report.state = TaskState::exited;
         t.report.cause = ExitCause::error;
       }
