--- a/src/protocol/platform_settings.cpp
+++ b/src/protocol/platform_settings.cpp
@@ -29,7 +29,8 @@
 // "A value of 0 means none" (DEPLOY): a team of guests has 0 for both, and its work is not to be refused for it.
 double limit_of(const Table& team, const char* key) {
   const double stated = team.number(key, 0);
-  return stated > 0 ? stated : store::kNoLimit;
+  if (stated > 0) return stated;
+  return store::kNoLimit;
 }
 
 void read_teams(const Table& deployment, store::Settings& s) {
--- a/tests/guest_test.cpp
+++ b/tests/guest_test.cpp
@@ -9,8 +9,10 @@
 namespace rushtrestle::testing {
 namespace {
 
-const store::TeamSettings kGuest{"guest", {}, {store::kNoLimit, store::kNoLimit, 0}};
-const store::TeamSettings kRed{"red", {64, 16, 0}, {144, 40, 0}};
+/// "red" has a guarantee, "guest" has neither guarantee nor limit.
+std::vector<store::TeamSettings> red_and_guest() {
+  return {{"red", {64, 16, 0}, {144, 40, 0}}, {"guest", {}, {store::kNoLimit, store::kNoLimit, 0}}};
+}
 
 store::JobSpec array_of(const std::string& id, const std::string& team, uint32_t tasks, double run_s) {
   store::JobSpec spec;
@@ -30,7 +32,7 @@
 
 TEST(Guests, WithoutAGuaranteeOrALimitAreServed) {
   World::Options options;
-  options.teams = {kRed, kGuest};
+  options.teams = red_and_guest();
   World w(options);
   w.submit(array_of("job-1", "guest", 40, 10), 2);
   w.run_until(200);
@@ -67,7 +69,7 @@
 // Idle-time work of guests was given ordinary machines with GPUs, at forty times the price of the cheapest.
 TEST(Guests, HaveNoOrdinaryMachineRentedForTheirIdleTimeWork) {
   World::Options options;
-  options.teams = {kRed, kGuest};
+  options.teams = red_and_guest();
   options.boot_failures = false;
   World w(options);
   w.submit(array_of("job-1", "guest", 400, 40), 2);
@@ -81,7 +83,7 @@
 TEST(Guests, LeaveRoomForWhatIsExpectedOfTheOthers) {
   World::Options options;
   options.nodes = 1;  // one part: the teams share its machines
-  options.teams = {kRed, kGuest};
+  options.teams = red_and_guest();
   options.boot_failures = false;
   World w(options);
   constexpr int kGateways = 20;
@@ -102,7 +104,7 @@
 
 TEST(Guests, IdleTimeWorkHasNoDeadlineNoObjectiveAndHasBegun) {
   store::Settings settings;
-  settings.teams = {kRed, kGuest};
+  settings.teams = red_and_guest();
   settings.objectives = {{"finished", "timed", 400, 0.8}};
   Context context(settings, {}, "incarnation", 1);
   context.wall = 1000;
