Read every CBOR body by one reader that limits its nesting

Callers saw: a worker whose answer to commands nests arrays as deep as the limit of a reply allows (4 MiB at 56 MiB of memory) ends the controller by a stack overflow. The cloud and the state store could do the same.

Cause: answers were read by parse_trusted_cbor, which skipped the check of depth; the library's CBOR parser recurses as deep as the input nests.

Why it works: parse_cbor builds the tree itself, from the library's events, and gives up at the 17th level, byte strings, NaN and infinity. There is no other reader, and it reads once what it read twice before. An answer that can't be read counts as an unknown outcome, as others do.

--- a/src/protocol/call_codec.cpp
+++ b/src/protocol/call_codec.cpp
@@ -25,7 +25,7 @@
                            const std::string& body) {
   if (kind == kKindOf<SendPeerState> || kind == kKindOf<ForwardHeartbeat>)
     return decode_peer_reply(kind, body);
-  const auto json = parse_trusted_cbor(body);
+  const auto json = parse_cbor(body);
   if (!json) return tl::make_unexpected(DecodeError{"", "not CBOR"});
   if (kind == kKindOf<PushCommands>)
     return decode_heartbeat(*json).map(
--- a/src/protocol/cbor.cpp
+++ b/src/protocol/cbor.cpp
@@ -1,6 +1,9 @@
 #include "protocol/cbor.h"
 
 #include <cmath>
+#include <cstddef>
+#include <utility>
+#include <vector>
 
 namespace rushtrestle::protocol {
 
@@ -8,47 +11,70 @@
 
 namespace {
 
-constexpr int kMaxDepth = 16;  // messages of the protocol nest five levels deep
+constexpr size_t kMaxDepth = 16;  // messages of the protocol nest five levels deep
 
-// Checks untrusted bytes before a tree is built from them: the library's parser recurses as deep as
-// the input nests, so the depth has to be limited first. Also rejects byte strings, NaN and
-// infinity.
-struct LimitChecker : nlohmann::json_sax<Json> {
-  int depth = 0;
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t value, const string_t&) override { return std::isfinite(value); }
-  bool string(string_t&) override { return true; }
+// Builds the tree of a message and rejects, while it reads, what no message of the protocol has:
+// deep nesting, byte strings, NaN and infinity. The library's own parser accepts all of these, and
+// recurses as deep as the input nests.
+class CheckedTreeBuilder final : public nlohmann::json_sax<Json> {
+ public:
+  Json&& take_tree() { return std::move(tree_); }
+
+  bool null() override { return add(nullptr); }
+  bool boolean(bool value) override { return add(value); }
+  bool number_integer(number_integer_t value) override { return add(value); }
+  bool number_unsigned(number_unsigned_t value) override { return add(value); }
+  bool number_float(number_float_t value, const string_t&) override {
+    return std::isfinite(value) && add(value);
+  }
+  bool string(string_t& value) override { return add(std::move(value)); }
   bool binary(binary_t&) override { return false; }
-  bool start_object(size_t) override { return ++depth <= kMaxDepth; }
-  bool key(string_t&) override { return true; }
-  bool end_object() override { return --depth >= 0; }
-  bool start_array(size_t) override { return ++depth <= kMaxDepth; }
-  bool end_array() override { return --depth >= 0; }
+  bool start_object(size_t) override { return open(Json::object()); }
+  bool key(string_t& name) override {
+    member_ = &open_.back()->get_ref<Json::object_t&>()[name];
+    return true;
+  }
+  bool end_object() override { return close(); }
+  bool start_array(size_t) override { return open(Json::array()); }
+  bool end_array() override { return close(); }
   bool parse_error(size_t, const std::string&, const nlohmann::detail::exception&) override {
     return false;
   }
+
+ private:
+  // Returns the place of the value in the tree.
+  Json& insert(Json&& value) {
+    if (open_.empty()) return tree_ = std::move(value);
+    if (!open_.back()->is_array()) return *member_ = std::move(value);
+    auto& elements = open_.back()->get_ref<Json::array_t&>();
+    return elements.emplace_back(std::move(value));
+  }
+  bool add(Json&& value) {
+    insert(std::move(value));
+    return true;
+  }
+  bool open(Json&& container) {
+    if (open_.size() == kMaxDepth) return false;
+    open_.push_back(&insert(std::move(container)));
+    return true;
+  }
+  bool close() {
+    open_.pop_back();
+    return true;
+  }
+
+  Json tree_;
+  std::vector<Json*> open_;  // the containers that are being read, outermost first
+  Json* member_ = nullptr;   // the member whose key was read last
 };
 
 }  // namespace
 
-// The library throws for an announced size that exceeds the memory, even when it is told not to
-// throw.
-std::optional<Json> parse_trusted_cbor(const std::string& body) try {
-  Json json = Json::from_cbor(body, true, false);
-  if (json.is_discarded()) return std::nullopt;
-  return json;
-} catch (const Json::exception&) {
-  return std::nullopt;
-}
-
 std::optional<Json> parse_cbor(const std::string& body) {
-  LimitChecker checker;
-  if (body.empty() || !Json::sax_parse(body, &checker, Json::input_format_t::cbor))
+  CheckedTreeBuilder builder;
+  if (body.empty() || !Json::sax_parse(body, &builder, Json::input_format_t::cbor))
     return std::nullopt;
-  return parse_trusted_cbor(body);
+  return builder.take_tree();
 }
 
 Decoded<Json> decode_cbor(const std::string& body, BodySize size) {
--- a/src/protocol/cbor.h
+++ b/src/protocol/cbor.h
@@ -8,16 +8,13 @@
 
 namespace rushtrestle::protocol {
 
-/// Parses untrusted bytes. Returns none for a body that is not CBOR, is nested too deep or holds
-/// byte strings, NaN or infinity.
+/// Parses bytes of any sender. Never throws. Returns none for a body that is not CBOR, is nested
+/// too deep or holds byte strings, NaN or infinity.
 std::optional<store::Json> parse_cbor(const std::string& body);
 /// Whether a body was received in full, or dropped because it exceeds the limit.
 enum class BodySize { within_limit, too_large };
 /// Like `parse_cbor`, but returns the reason for a rejection.
 Decoded<store::Json> decode_cbor(const std::string& body, BodySize size);
-/// Parses without the checks of `parse_cbor`, for answers of the platform's own services and of
-/// workers. Returns none for a body that is not CBOR.
-std::optional<store::Json> parse_trusted_cbor(const std::string& body);
 
 std::string to_cbor(const store::Json& json);
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -261,6 +261,19 @@
   EXPECT_EQ(decode_reply(1, types, "", 200, to_cbor({{"breeds", {{{"sku", 1}}}}})).status, 0);
 }
 
+// A worker's answer to commands that nests arrays deep enough overflowed the controller's stack.
+TEST(Codec, ADeeplyNestedAnswerCountsAsAnUnknownOutcome) {
+  constexpr size_t kLargestReply = size_t{4} * 1024 * 1024;
+  for (size_t kind = 0; kind < std::variant_size_v<CallBody>; ++kind) {
+    const bool has_body =
+        kind != CallBody(RenewLease{}).index() && kind != CallBody(DeleteMachines{}).index();
+    for (const char nested : {'\x81', '\xa1', '\x9f'})
+      EXPECT_EQ(decode_reply(1, kind, "k", 200, std::string(kLargestReply, nested)).status,
+                has_body ? 0 : 200)
+          << "kind " << kind;
+  }
+}
+
 rc::Gen<Heartbeat> heartbeats() {
   const auto task = rc::gen::apply(
       [](uint16_t job, uint32_t n, uint64_t attempt, int state, int cause, bool saved) {
