Refuse text that is not UTF-8, and size records without a throw

Cause: text in CBOR is UTF-8, which neither the library's reader nor ours checked. The job was admitted, and TransactionBatch sized its record by Json::dump, which throws for such text.

Evidence: on the sources before, Codec.RefusesTextThatIsNotUtf8 (the body decodes to a command), TransactionBatch.TakesAValueWithTextThatIsNotUtf8 (throws the error of the log) and Core.ASubmissionWithTextThatIsNotUtf8IsRefusedAndEndsNoController (no body gets 400) fail.

Why it works: parse_cbor refuses such text in any field or name, of users and workers alike, so the sender gets 400. Answers of the state store and the cloud may hold such text, as one record must not keep a controller from reading all others. The codecs turn whatever a decoder throws into a decode error.

The cluster simulation took submissions as typed commands, so it could not produce this: its users now also send bodies of malformed submissions, as a generated fault too.

--- a/src/coordination/state/writes/transaction_batch.cpp
+++ b/src/coordination/state/writes/transaction_batch.cpp
@@ -14,7 +14,7 @@
 
 size_t estimated_size(const QueuedWrite& write) {
   const auto& value = write.prepared.value;
-  return kWriteOverheadBytes + (value ? value->dump().size() : 0);
+  return kWriteOverheadBytes + (value ? store::to_json_text(*value).size() : 0);
 }
 
 }  // namespace
--- a/src/protocol/call_codec.cpp
+++ b/src/protocol/call_codec.cpp
@@ -25,7 +25,9 @@
                            const std::string& body) {
   if (kind == kKindOf<SendPeerState> || kind == kKindOf<ForwardHeartbeat>)
     return decode_peer_reply(kind, body);
-  const auto json = parse_cbor(body);
+  // One record with such a text must not keep a controller from reading all others.
+  const auto encoding = kind == kKindOf<PushCommands> ? TextEncoding::utf8 : TextEncoding::any;
+  const auto json = parse_cbor(body, encoding);
   if (!json) return tl::make_unexpected(DecodeError{"", "not CBOR"});
   if (kind == kKindOf<PushCommands>)
     return decode_heartbeat(*json).map(
--- a/src/protocol/cbor.cpp
+++ b/src/protocol/cbor.cpp
@@ -1,5 +1,6 @@
 #include "protocol/cbor.h"
 
+#include <boost/locale/utf.hpp>
 #include <cmath>
 #include <cstddef>
 #include <utility>
@@ -13,11 +14,22 @@
 
 constexpr size_t kMaxDepth = 16;  // messages of the protocol nest five levels deep
 
+bool valid_utf8(const std::string& text) {
+  namespace utf = boost::locale::utf;
+  for (auto next = text.begin(); next != text.end();) {
+    const utf::code_point decoded = utf::utf_traits<char>::decode(next, text.end());
+    if (decoded == utf::illegal || decoded == utf::incomplete) return false;
+  }
+  return true;
+}
+
 // Builds the tree of a message and rejects, while it reads, what no message of the protocol has:
-// deep nesting, byte strings, NaN and infinity. The library's own parser accepts all of these, and
-// recurses as deep as the input nests.
+// deep nesting, byte strings, NaN, infinity and, in strict mode, text that is not UTF-8. The
+// library's own parser accepts all of these, and recurses as deep as the input nests.
 class CheckedTreeBuilder final : public nlohmann::json_sax<Json> {
  public:
+  explicit CheckedTreeBuilder(TextEncoding encoding) : encoding_(encoding) {}
+
   Json&& take_tree() { return std::move(tree_); }
 
   bool null() override { return add(nullptr); }
@@ -27,10 +39,11 @@
   bool number_float(number_float_t value, const string_t&) override {
     return std::isfinite(value) && add(value);
   }
-  bool string(string_t& value) override { return add(std::move(value)); }
+  bool string(string_t& value) override { return valid(value) && add(std::move(value)); }
   bool binary(binary_t&) override { return false; }
   bool start_object(size_t) override { return open(Json::object()); }
   bool key(string_t& name) override {
+    if (!valid(name)) return false;
     member_ = &open_.back()->get_ref<Json::object_t&>()[name];
     return true;
   }
@@ -42,6 +55,10 @@
   }
 
  private:
+  bool valid(const std::string& text) const {
+    return encoding_ == TextEncoding::any || valid_utf8(text);
+  }
+
   // Returns the place of the value in the tree.
   Json& insert(Json&& value) {
     if (open_.empty()) return tree_ = std::move(value);
@@ -63,6 +80,7 @@
     return true;
   }
 
+  TextEncoding encoding_;
   Json tree_;
   std::vector<Json*> open_;  // the containers that are being read, outermost first
   Json* member_ = nullptr;   // the member whose key was read last
@@ -70,8 +88,8 @@
 
 }  // namespace
 
-std::optional<Json> parse_cbor(const std::string& body) {
-  CheckedTreeBuilder builder;
+std::optional<Json> parse_cbor(const std::string& body, TextEncoding encoding) {
+  CheckedTreeBuilder builder(encoding);
   if (body.empty() || !Json::sax_parse(body, &builder, Json::input_format_t::cbor))
     return std::nullopt;
   return builder.take_tree();
@@ -80,7 +98,9 @@
 Decoded<Json> decode_cbor(const std::string& body, BodySize size) {
   if (size == BodySize::too_large) return tl::make_unexpected(DecodeError{"", "too large"});
   auto json = parse_cbor(body);
-  if (!json) return tl::make_unexpected(DecodeError{"", "not CBOR, nested too deep or with bytes"});
+  if (!json)
+    return tl::make_unexpected(
+        DecodeError{"", "not CBOR, nested too deep, with bytes or with text that is not UTF-8"});
   return std::move(*json);
 }
 
--- a/src/protocol/cbor.h
+++ b/src/protocol/cbor.h
@@ -8,9 +8,13 @@
 
 namespace rushtrestle::protocol {
 
-/// Parses bytes of any sender. Never throws. Returns none for a body that is not CBOR, is nested
-/// too deep or holds byte strings, NaN or infinity.
-std::optional<store::Json> parse_cbor(const std::string& body);
+/// Which bytes a text in a message may have. CBOR prescribes UTF-8, and JSON text can hold nothing
+/// else.
+enum class TextEncoding { utf8, any };
+/// Parses bytes of any sender. Returns none for a body that is not CBOR, is nested too deep, or
+/// holds byte strings, NaN, infinity or text of another encoding. Never throws.
+std::optional<store::Json> parse_cbor(const std::string& body,
+                                      TextEncoding encoding = TextEncoding::utf8);
 /// Whether a body was received in full, or dropped because it exceeds the limit.
 enum class BodySize { within_limit, too_large };
 /// Like `parse_cbor`, but returns the reason for a rejection.
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -65,15 +65,15 @@
   const store::Json& json_;
 };
 
-/// Returns the result of `decode`, or the decode error that `decode` throws. Called by the
-/// outermost functions of a codec.
+/// Returns the result of `decode`, or the decode error that `decode` throws, whatever its type: no
+/// received bytes may end the controller. Called by the outermost functions of a codec.
 template <class Decode>
 auto catch_decode_errors(Decode&& decode) -> Decoded<decltype(decode())> {
   try {
     return decode();
   } catch (const InvalidField& invalid) {
     return tl::make_unexpected(invalid.error);
-  } catch (const store::Json::exception& error) {
+  } catch (const std::exception& error) {
     return tl::make_unexpected(DecodeError{"", error.what()});
   }
 }
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -56,10 +56,6 @@
 constexpr const char* kCommands = "commands";
 constexpr const char* kRedirect = "redirect";
 
-std::string dump(const Json& body) {
-  return body.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 // ---- the exchange of cancellations ----
 
 Json position_json(const CancellationPosition& position) {
@@ -234,10 +230,10 @@
 }
 
 HttpCall post(const std::string& address, const char* target, const Json& body) {
-  return {Service::peer, address, "POST", target, dump(body), kJsonType};
+  return {Service::peer, address, "POST", target, store::to_json_text(body), kJsonType};
 }
 
-HttpAnswer peer_answer(const Json& body) { return {200, dump(body), "", kJsonType}; }
+HttpAnswer peer_answer(const Json& body) { return {200, store::to_json_text(body), "", kJsonType}; }
 
 }  // namespace
 
--- a/src/protocol/user_codec.cpp
+++ b/src/protocol/user_codec.cpp
@@ -147,8 +147,8 @@
 }
 
 HttpAnswer encode(const AnswerStats& answer) {
-  return {200, answer.body.dump(2, ' ', false, Json::error_handler_t::replace) + "\n", "",
-          "application/json"};
+  constexpr int kIndent = 2;
+  return {kOk, store::to_json_text(answer.body, kIndent) + "\n", "", "application/json"};
 }
 
 }  // namespace rushtrestle::protocol
--- a/src/store/json.h
+++ b/src/store/json.h
@@ -2,11 +2,19 @@
 #pragma once
 #include <cstddef>
 #include <nlohmann/json.hpp>
+#include <string>
 
 namespace rushtrestle::store {
 
 using Json = nlohmann::json;
 
+/// Indentation of JSON text that has no line breaks.
+inline constexpr int kOneLine = -1;
+
+/// Returns a value's JSON text, on one line or, with `indent`, on several. Text in it that is not
+/// UTF-8 is replaced: unlike Json::dump, this function never throws.
+std::string to_json_text(const Json& value, int indent = kOneLine);
+
 /// Returns the size in bytes of a value's JSON text, by which the state store limits values. Adds
 /// one byte for each ',' and ':', because some writers put a space after each separator.
 size_t stored_size(const Json& value);
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -132,6 +132,32 @@
   EXPECT_FALSE(parse_cbor(std::string(60000, '\x9f')));
 }
 
+// A submission with a Latin-1 image name was accepted, and the controllers that got it ended when
+// they wrote it: JSON text of it can't be made.
+TEST(Codec, RefusesTextThatIsNotUtf8) {
+  const std::vector<std::string> not_utf8 = {
+      "img-caf\xe9", "\xff", "a\x80", "\xc0\xaf", "\xed\xa0\x80", "\xf4\x90\x80\x80", "\xe2\x82"};
+  for (const auto& text : not_utf8) {
+    for (const char* field : {"bundle", "berth", "crew", "yard", "sort", "a later field"}) {
+      Json job = valid_job();
+      job[field] = text;
+      EXPECT_EQ(status_of("POST", "/v1/jobs", to_cbor(job)), 400) << field;
+    }
+    Json job = valid_job();
+    job["breeds"] = Json::array({"g8", text});
+    EXPECT_EQ(status_of("POST", "/v1/jobs", to_cbor(job)), 400);
+    job = valid_job();
+    job[text] = 1;
+    EXPECT_EQ(status_of("POST", "/v1/jobs", to_cbor(job)), 400) << "the name of a field";
+    const Json heartbeat = {{"rig", text}, {"addr", "a:1"}, {"breed", "g8"}, {"yard", "a"},
+                            {"shift", 1u}, {"tally", 1u},   {"baton", 1u},   {"chores", {}}};
+    EXPECT_EQ(status_of("POST", "/checkin", to_cbor(heartbeat)), 400);
+  }
+  Json job = valid_job();
+  job["bundle"] = "img-caf\xc3\xa9-\xf0\x9f\x9a\x82";
+  EXPECT_EQ(status_of("POST", "/v1/jobs", to_cbor(job)), 0) << "it is UTF-8";
+}
+
 TEST(Codec, RoutesByPathAndMethod) {
   EXPECT_EQ(status_of("GET", "/v1/jobs/job-1", ""), 0);
   EXPECT_EQ(status_of("POST", "/v1/jobs/job-1/abort", ""), 0);
@@ -274,6 +300,15 @@
   }
 }
 
+// One record that an earlier version stored must not keep a controller from reading all others.
+TEST(Codec, ARecordWithTextThatIsNotUtf8IsRead) {
+  const Json changes = {{"epoch", 4},
+                        {"log", {{{"put", "job/job-1"}, {"v", {{"x", "\xe9"}}}, {"stamp", 4}}}}};
+  const auto done = decode_reply(1, CallBody(Watch{}).index(), "", 200, to_cbor(changes));
+  ASSERT_EQ(done.status, 200);
+  EXPECT_EQ(std::get<WatchReply>(done.reply).events.size(), 1u);
+}
+
 rc::Gen<Heartbeat> heartbeats() {
   const auto task = rc::gen::apply(
       [](uint16_t job, uint32_t n, uint64_t attempt, int state, int cause, bool saved) {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -63,6 +63,18 @@
   }
 }
 
+// One user's submission with a Latin-1 image name ended every controller that took it, and the
+// user's retries carried it to all of them.
+TEST(Core, ASubmissionWithTextThatIsNotUtf8IsRefusedAndEndsNoController) {
+  ClusterSimulation sim({});
+  sim.submit_malformed_jobs(30);
+  sim.submit(spec("job-1", store::JobKind::array, 6, 2, 8), 10);
+  sim.run_until(60);
+  EXPECT_EQ(sim.counters().malformed_submissions, 90u);
+  EXPECT_EQ(sim.last_reported_status("job-1"), "done");
+  EXPECT_TRUE(sim.violations.empty()) << first_violation(sim);
+}
+
 // A write that was refused for the rate was prepared again, found no change since then and was
 // dropped: the placement stayed only in the shard leader's memory, and its task never started.
 TEST(Core, WritesRefusedForTheRateAreNotLost) {
--- a/tests/simulation/cluster_simulation.h
+++ b/tests/simulation/cluster_simulation.h
@@ -66,6 +66,9 @@
   void submit(const store::JobSpec& spec, double at_s);
   /// Cancels a job if it has been accepted by then; kAnyNode picks a random node.
   void cancel(const std::string& id, double at_s, int node = kAnyNode);
+  /// Each second, a user submits a job of which one text is not UTF-8, in the form on the wire, to
+  /// each controller. Every answer has to be 400.
+  void submit_malformed_jobs(double for_s);
   /// Queries one node once, in addition to the users' polls.
   void query_job(const std::string& id, double at_s, int node);
   static constexpr int kAnyNode = -1;
@@ -192,6 +195,7 @@
     size_t bytes_written = 0;           // JSON values in transactions, in bytes
     size_t calls_without_socket = 0;    // calls that failed for want of a free socket
     size_t max_commands_in_flight = 0;  // to workers, by one controller
+    size_t malformed_submissions = 0;   // that were answered with 400
   };
   const Counters& counters() const { return counters_; }
   /// Returns the settings that all controllers share.
@@ -341,6 +345,7 @@
   void record_cancellation(Job& job);
   void query_all_nodes(const std::string& id);
   void repeat_submission(const std::string& id, int node);
+  void submit_malformed_job(int node);
   void cancel_by_user(const std::string& id);
   void send_user_request(int node, const std::function<Command(RequestId)>& make,
                          const std::function<void(std::optional<AnswerUser>)>& then);
--- a/tests/simulation/generated_faults.cpp
+++ b/tests/simulation/generated_faults.cpp
@@ -12,7 +12,7 @@
       [](int at, int kind, size_t target, int for_s, bool variant) {
         return Fault{static_cast<double>(at), kind, target, static_cast<double>(for_s), variant};
       },
-      rc::gen::inRange(20, 110), rc::gen::inRange(0, 30), rc::gen::inRange<size_t>(0, 12),
+      rc::gen::inRange(20, 110), rc::gen::inRange(0, 31), rc::gen::inRange<size_t>(0, 12),
       rc::gen::inRange(3, 45), rc::gen::arbitrary<bool>());
 }
 
@@ -74,6 +74,7 @@
     case 28:
       sim.starve_node(node, 0.1, fault.for_s);
       break;  // a single pause between a decision and the sending of its effects
+    case 29: sim.submit_malformed_jobs(fault.for_s); break;
     default: sim.duplicate_heartbeats(fault.for_s, fault.for_s); break;
   }
 }
--- a/tests/simulation/users.cpp
+++ b/tests/simulation/users.cpp
@@ -1,10 +1,30 @@
 // The simulated users: submissions, polls and cancellations, each repeated as the protocol demands.
 #include <algorithm>
 
+#include "protocol/codec.h"
 #include "simulation/cluster_simulation.h"
 
 namespace rushtrestle::testing {
 
+namespace {
+
+/// Returns the body of a valid submission with a byte that is not UTF-8 in one of its texts.
+std::string malformed_submission(std::mt19937_64& rng) {
+  Json job = {{"id", "job-malformed"}, {"berth", "batch"}, {"crew", "red"},      {"sort", "array"},
+              {"rank", "normal"},      {"chores", 1},      {"cores", 1.0},       {"memoryGb", 1.0},
+              {"bundle", "img"},       {"imageGb", 0.1},   {"yard", "a"},        {"dueS", 900.0},
+              {"breeds", {"small"}},   {"guessS", 5.0},    {"a later field", ""}};
+  const std::vector<std::string> texts = {"/berth", "/crew",     "/bundle",
+                                          "/yard",  "/breeds/0", "/a later field"};
+  auto& text = job[Json::json_pointer(texts[rng() % texts.size()])].get_ref<std::string&>();
+  constexpr unsigned kFirstByteOfASequence = 0xc0;
+  const auto byte = static_cast<char>(kFirstByteOfASequence + rng() % 64);
+  text.insert(rng() % (text.size() + 1), 1, byte);
+  return protocol::to_cbor(job);
+}
+
+}  // namespace
+
 void ClusterSimulation::submit(const store::JobSpec& spec, double at_s) {
   jobs_[spec.id].spec = spec;
   has_gangs_ |= spec.kind == store::JobKind::gang;
@@ -15,6 +35,33 @@
   });
 }
 
+void ClusterSimulation::submit_malformed_jobs(double for_s) {
+  for (int second = 0; second < for_s; ++second)
+    at(now_ + second, [this] {
+      for (int node = 0; node < options_.nodes; ++node) submit_malformed_job(node);
+    });
+}
+
+// Earlier versions take commands, not bytes.
+void ClusterSimulation::submit_malformed_job(int node) {
+  constexpr int kMalformed = 400;
+  if (version_of(node) != ControllerVersion::current) return;
+  const RequestId request = next_request_++;
+  auto decoded =
+      protocol::decode_request(request, "POST", "/v1/jobs", malformed_submission(rng_), false);
+  if (const auto* answer = std::get_if<protocol::HttpAnswer>(&decoded)) {
+    if (answer->status == kMalformed) {
+      ++counters_.malformed_submissions;
+    } else {
+      fail("malformed submission gets " + std::to_string(answer->status));
+    }
+    return;
+  }
+  fail("malformed submission is not refused");
+  send("users", node_name(node),
+       [this, node, command = std::get<Command>(decoded)] { deliver(node, command); });
+}
+
 void ClusterSimulation::send_user_request(
     int node, const std::function<Command(RequestId)>& make,
     const std::function<void(std::optional<AnswerUser>)>& then) {
--- a/tests/write_queue_test.cpp
+++ b/tests/write_queue_test.cpp
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "coordination/state/writes/transaction_batch.h"
+
 namespace rushtrestle::coordination {
 namespace {
 
@@ -53,6 +55,17 @@
 
 using Keys = std::vector<std::string>;
 
+// The size of a value was that of its JSON text, and making the text of a value with a byte that is
+// not UTF-8 threw out of the controller: a value that any earlier version stored must be writable.
+TEST(TransactionBatch, TakesAValueWithTextThatIsNotUtf8) {
+  TransactionBatch batch(kSlots);
+  auto write = std::make_shared<QueuedWrite>();
+  write->request.key = "job/job-1";
+  write->prepared.value = store::Json{{"image", "img-caf\xe9"}};
+  EXPECT_TRUE(batch.try_add(write));
+  EXPECT_EQ(batch.to_transaction().writes.size(), 1u);
+}
+
 TEST(WriteQueue, LeavesByPriorityThenRank) {
   QueueFixture fixture;
   fixture.add("display", WriteCause::running_mark, 0);
