A key of the state store that names no shard ends no controller

Callers saw: every controller that reads a key such as part/x ends; after a restart it reads the key again. A key part/00 or part/-1 was taken for that of a shard.

Cause: the number was parsed by std::stoi, whose exceptions StateCache::apply doesn't catch.

Why it works: the key is compared with those of the shards that exist; nothing is parsed.

--- a/src/coordination/membership/shard_assignment.cpp
+++ b/src/coordination/membership/shard_assignment.cpp
@@ -1,20 +1,10 @@
 #include "coordination/membership/shard_assignment.h"
 
 #include <algorithm>
-#include <string_view>
 #include <utility>
 
 namespace rushtrestle::coordination {
 
-namespace {
-
-int shard_of_key(const std::string& key) {
-  constexpr std::string_view kPrefix = "part/";
-  return std::stoi(key.substr(kPrefix.size()));
-}
-
-}  // namespace
-
 ShardAssignment::ShardAssignment(Context& context, const store::StateCache& state_cache,
                                  const ControllerOrder& order, const PeerDirectory& peers,
                                  LeaseClaims& claims, Events events)
@@ -91,20 +81,29 @@
   claims_.release(key, [this, shard] { return fencing_token(shard); });
 }
 
+// Returns none for a key that is not that of a shard. Other clients of the state store can write
+// one, and parsing its number threw out of the controller.
+std::optional<int> ShardAssignment::shard_of_key(const std::string& key) const {
+  for (int shard = 0; shard < order_.shard_count(); ++shard)
+    if (key == store::shard_key(shard)) return shard;
+  return std::nullopt;
+}
+
 void ShardAssignment::on_lease_holder_changed(const std::string& key) {
-  const int shard = shard_of_key(key);
+  const std::optional<int> shard = shard_of_key(key);
+  if (!shard) return;
   const auto own_revision = claims_.own_mod_revision(key);
-  const auto it = leases_.find(shard);
+  const auto it = leases_.find(*shard);
   const bool known = it != leases_.end();
   if (own_revision && !(known && it->second.mod_revision == *own_revision)) {
     // The key was lost and acquired again, without a change seen in between.
-    if (known && !it->second.acquiring) events_.on_shard_lost(shard);
-    leases_[shard] = {.mod_revision = *own_revision, .acquiring = true};
+    if (known && !it->second.acquiring) events_.on_shard_lost(*shard);
+    leases_[*shard] = {.mod_revision = *own_revision, .acquiring = true};
   } else if (!own_revision && known) {
     const bool was_acquired = !it->second.acquiring;
     leases_.erase(it);
-    context_.info("shard_lost shard=" + std::to_string(shard));
-    if (was_acquired) events_.on_shard_lost(shard);
+    context_.info("shard_lost shard=" + std::to_string(*shard));
+    if (was_acquired) events_.on_shard_lost(*shard);
   }
 }
 
--- a/src/coordination/membership/shard_assignment.h
+++ b/src/coordination/membership/shard_assignment.h
@@ -65,6 +65,7 @@
     uint64_t mod_revision = 0;  // of the shard's key
     bool acquiring = true;      // `on_shard_acquired` was not called yet
   };
+  std::optional<int> shard_of_key(const std::string& key) const;
   std::vector<int> shards_being_acquired() const;
   void release_if_home_is_stable(int shard);
 
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -75,6 +75,21 @@
   EXPECT_TRUE(sim.violations.empty()) << first_violation(sim);
 }
 
+// Every controller that read a key `part/x` ended: the number of the shard was parsed by std::stoi.
+TEST(Core, AKeyThatNamesNoShardEndsNoController) {
+  ClusterSimulation sim({});
+  sim.submit(spec("job-1", store::JobKind::array, 6, 2, 8), 3);
+  sim.at(5, [&sim] {
+    for (const char* key :
+         {"part/x", "part/", "part/1x", "part/99999999999999999999", "part/-1", "part/00"})
+      sim.write_key(key, {{"node", "node-0"}, {"inc", "node-0.1"}});
+    sim.write_key("part/1 ", Json::array());
+  });
+  sim.run_until(60);
+  EXPECT_EQ(sim.last_reported_status("job-1"), "done");
+  EXPECT_TRUE(sim.violations.empty()) << first_violation(sim);
+}
+
 // A write that was refused for the rate was prepared again, found no change since then and was
 // dropped: the placement stayed only in the shard leader's memory, and its task never started.
 TEST(Core, WritesRefusedForTheRateAreNotLost) {
--- a/tests/simulation/cluster_simulation.h
+++ b/tests/simulation/cluster_simulation.h
@@ -69,6 +69,8 @@
   /// Each second, a user submits a job of which one text is not UTF-8, in the form on the wire, to
   /// each controller. Every answer has to be 400.
   void submit_malformed_jobs(double for_s);
+  /// Writes a key of the state store, as an operator could.
+  void write_key(const std::string& key, Json value) { state_.preset(key, std::move(value)); }
   /// Queries one node once, in addition to the users' polls.
   void query_job(const std::string& id, double at_s, int node);
   static constexpr int kAnyNode = -1;
