An unreadable lease holder leaves the former one as it was

Callers saw: nothing yet. A value of part/<i> or leader that can't be read was logged and ignored, but the cache kept the former holder under the new mod revision, which is a fencing token.

Evidence: StateCache.AnUnreadableLeaseHolderChangesNothing fails on the sources before.

Why it works: the value is read first, so an exception leaves the entry unchanged.

--- a/src/store/state_cache.cpp
+++ b/src/store/state_cache.cpp
@@ -108,12 +108,14 @@
   format_revision_ = change.mod_revision;
 }
 
+// The value is read before anything changes: a value that can't be read must leave the holder as it
+// was, not the old one under the new revision.
 void StateCache::apply_lease_holder(const Change& change) {
   auto& holder = lease_holders_[change.key];
   if (change.mod_revision <= holder.mod_revision) return;
+  if (change.value) holder.record = lease_holder_from_json(*change.value);
   holder.mod_revision = change.mod_revision;
   holder.present = change.value.has_value();
-  if (change.value) holder.record = lease_holder_from_json(*change.value);
   listener_.on_lease_holder_changed(change.key);
 }
 
--- a/tests/state_cache_test.cpp
+++ b/tests/state_cache_test.cpp
@@ -38,6 +38,17 @@
   EXPECT_EQ(state_cache.mod_revision_of("part/0"), 0u);
 }
 
+// With the revision taken first, a value that could not be read left the former holder under the
+// new revision, which is a fencing token.
+TEST(StateCache, AnUnreadableLeaseHolderChangesNothing) {
+  CountingListener listener;
+  StateCache state_cache(listener);
+  state_cache.apply({"part/0", to_json(LeaseHolderRecord{"n", "i"}), 5});
+  EXPECT_FALSE(state_cache.apply({"part/0", Json{{"node", 3}}, 7}));
+  EXPECT_EQ(state_cache.mod_revision_of("part/0"), 5u);
+  EXPECT_EQ(listener.holders, 1);
+}
+
 // When the cache kept the whole record of every accepted job, a small controller ran out of memory
 // within two days.
 TEST(StateCache, AFinishedJobKeepsOnlyTheFieldsThatAnswersNeed) {
