Refuse a peer's number that names no state, cause or verb

Callers saw: nothing yet. A forwarded heartbeat or its answer with a number outside of the enumeration was taken as it came; 1e300 was converted to int, which is undefined.

Evidence: Codec.RefusesNumbersThatNameNoStateAndNoVerb fails on the sources before (the message decodes to a command).

Why it works: the number has to be an unsigned integer up to the last enumerator, else the message is malformed: 400, or an unknown outcome.

--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -148,12 +148,20 @@
                       static_cast<int>(task.cause), task.saved});
 }
 
+/// Reads an enumerator that is sent as its number; `last` is the largest one.
+template <class Enum>
+Enum enumerator_from_json(const Json& json, Enum last, const char* field) {
+  if (!json.is_number_unsigned() || json.get<uint64_t>() > static_cast<uint64_t>(last))
+    fail(field, "no such number");
+  return static_cast<Enum>(json.get<int>());
+}
+
 ReportedTask reported_task_from_json(const Json& json) {
   return {json.at(0).get<std::string>(),
           json.at(1).get<uint32_t>(),
           json.at(2).get<uint64_t>(),
-          static_cast<TaskState>(json.at(3).get<int>()),
-          static_cast<ExitCause>(json.at(4).get<int>()),
+          enumerator_from_json(json.at(3), TaskState::exited, kTasks),
+          enumerator_from_json(json.at(4), ExitCause::unknown, kTasks),
           json.at(5).get<bool>(),
           false};
 }
@@ -193,8 +201,9 @@
 }
 
 WorkerCommand command_from_json(const Json& json) {
-  return {static_cast<WorkerVerb>(json.at(0).get<int>()), json.at(1).get<std::string>(),
-          json.at(2).get<uint32_t>(), json.at(3).get<uint64_t>(), json.at(4).get<double>()};
+  return {enumerator_from_json(json.at(0), WorkerVerb::forget, kCommands),
+          json.at(1).get<std::string>(), json.at(2).get<uint32_t>(), json.at(3).get<uint64_t>(),
+          json.at(4).get<double>()};
 }
 
 Json heartbeat_response_json(const HeartbeatResponse& response) {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -222,6 +222,28 @@
       400);
 }
 
+// A state or a verb that no version sends was taken as it came, outside of its enumeration.
+TEST(Codec, RefusesNumbersThatNameNoStateAndNoVerb) {
+  Heartbeat heartbeat;
+  heartbeat.tasks = {{"job-3", 1, 4, TaskState::running, ExitCause::none, false}};
+  const auto call = encode(Call{1, 1, ForwardHeartbeat{"10.0.0.2:8081", heartbeat}});
+  constexpr int kStatePlace = 3, kCausePlace = 4;
+  for (const int place : {kStatePlace, kCausePlace})
+    for (const Json& number : {Json(99), Json(-1), Json(1e300), Json("1")}) {
+      Json changed = Json::parse(call.body);
+      changed["tasks"][0][place] = number;
+      const auto decoded = decode_peer_request(5, "POST", "/relay", changed.dump());
+      ASSERT_TRUE(std::holds_alternative<HttpAnswer>(decoded)) << number;
+      EXPECT_EQ(std::get<HttpAnswer>(decoded).status, 400) << number;
+    }
+  const auto answer =
+      encode(AnswerForwardedHeartbeat{5, {200, 41, {{WorkerVerb::stop, "job-3", 1, 4, 10}}, ""}});
+  Json changed = Json::parse(answer.body);
+  changed["commands"][0][0] = 3;
+  EXPECT_EQ(decode_reply(1, CallBody(ForwardHeartbeat{}).index(), "", 200, changed.dump()).status,
+            0);
+}
+
 PeerState peer_state_with_cancellations() {
   PeerState s;
   s.node = "node-2";
