Refuse a job whose description does not fit into a record

Callers saw: a job with dozens of long names of machine types gets 503 for as long as its user repeats it, and each time the state store refuses the transaction of which its record was part; the writes of other users in it are sent again, one by one.

Cause: admission checks the team's limit and the types, not the size of the record.

Why it works: such a job can never be stored, so it can never run: 422, like a job that fits no machine, behind the same read barrier.

--- a/src/coordination/jobs/admission.cpp
+++ b/src/coordination/jobs/admission.cpp
@@ -39,7 +39,15 @@
 }
 
 bool Admission::can_ever_run(const JobSpec& spec) const {
-  return within_quota(spec) && some_type_fits_a_task(spec);
+  return within_quota(spec) && some_type_fits_a_task(spec) && fits_a_record(spec);
+}
+
+// The state store refuses the record of a job with a too long description, and with it the
+// transaction that other users' jobs were part of. The user got 503, and repeated the submission.
+bool Admission::fits_a_record(const JobSpec& spec) const {
+  store::JobRecord record;
+  record.spec = spec;
+  return !state_store_.oversized(to_json(record));
 }
 
 bool Admission::within_quota(const JobSpec& spec) const {
--- a/src/coordination/jobs/admission.h
+++ b/src/coordination/jobs/admission.h
@@ -38,6 +38,7 @@
 
  private:
   bool can_ever_run(const store::JobSpec& spec) const;
+  bool fits_a_record(const store::JobSpec& spec) const;
   bool within_quota(const store::JobSpec& spec) const;
   bool some_type_fits_a_task(const store::JobSpec& spec) const;
   bool near_memory_limit() const;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -75,6 +75,24 @@
   EXPECT_TRUE(sim.violations.empty()) << first_violation(sim);
 }
 
+// A job with a list of types that no record can hold got 503 for as long as its user repeated it,
+// and each time the state store refused a whole transaction.
+TEST(Core, AJobWhoseDescriptionExceedsARecordIsRefusedForGood) {
+  ClusterSimulation sim({});
+  auto long_list = spec("job-1", store::JobKind::array, 1, 1, 5);
+  constexpr int kTypes = 60;
+  constexpr size_t kNameLength = 150;
+  long_list.types = {"small"};
+  for (int i = 0; i < kTypes; ++i)
+    long_list.types->push_back(std::string(kNameLength, 'x') + std::to_string(i));
+  sim.submit(long_list, 5);
+  sim.submit(spec("job-2", store::JobKind::array, 6, 2, 8), 5);
+  sim.run_until(60);
+  EXPECT_TRUE(sim.permanently_rejected("job-1"));
+  EXPECT_EQ(sim.last_reported_status("job-2"), "done");
+  EXPECT_TRUE(sim.violations.empty()) << first_violation(sim);
+}
+
 // Every controller that read a key `part/x` ended: the number of the shard was parsed by std::stoi.
 TEST(Core, AKeyThatNamesNoShardEndsNoController) {
   ClusterSimulation sim({});
