Forward a worker's heartbeats after its machine's record was rewritten

Callers saw: a worker that can't reach its shard leader lives on heartbeats that another controller forwards. When its machine's record was rewritten meanwhile, it lost its lease and all tasks.

Cause: heartbeats were forwarded only of workers that had seen the newest token, which is the mod revision of the machine's record. The worker could learn the new one only from the answer to a forwarded heartbeat; instead it was redirected to the leader out of its reach.

Why it works: a worker that has seen any token of this leader for the machine in this shard is cut off if it still reports elsewhere. The first such token is the larger of the shard key's mod revision and that of the first known record with the machine in the shard, which the state cache now keeps. A controller that restarted knows only the present record, and redirects as before.

--- a/src/coordination/shard/heartbeat_handler.cpp
+++ b/src/coordination/shard/heartbeat_handler.cpp
@@ -45,7 +45,7 @@
     return false;
   const std::string shard_leader = membership_.shard_leader(durable->record.shard);
   if (shard_leader.empty() || shard_leader == context_.settings.node ||
-      heartbeat.fencing_token < leader_fencing_token(durable->record.shard, heartbeat.machine)) {
+      !obeys_shard_leader(heartbeat, durable->record.shard)) {
     forwarding_since_.erase(heartbeat.machine);
     return false;
   }
@@ -66,10 +66,12 @@
   return true;
 }
 
-// Returns the fencing token of the machine's shard leader, as far as the state cache knows it.
-uint64_t HeartbeatHandler::leader_fencing_token(int shard, const std::string& machine) const {
-  return std::max(state_cache_.mod_revision_of(store::shard_key(shard)),
-                  state_cache_.mod_revision_of(store::machine_key(machine)));
+// Whether the worker has seen a token of the machine's shard leader, as far as the state cache
+// knows. It need not be the highest one: when the machine's record was rewritten, a worker that
+// can't reach the leader can learn the new token only from the answer to a forwarded heartbeat.
+bool HeartbeatHandler::obeys_shard_leader(const Heartbeat& heartbeat, int shard) const {
+  return heartbeat.fencing_token >= std::max(state_cache_.mod_revision_of(store::shard_key(shard)),
+                                             state_cache_.assigned_to_shard_at(heartbeat.machine));
 }
 
 // Redirects the worker to a peer that hears the shard leader and can forward the worker's
--- a/src/coordination/shard/heartbeat_handler.h
+++ b/src/coordination/shard/heartbeat_handler.h
@@ -52,7 +52,7 @@
   /// Returns true if the heartbeat was answered, or forwarded to the shard leader, whose answer is
   /// passed on later; only then may the heartbeat be moved from. False: the caller answers it.
   bool forward(RequestId request, Heartbeat& heartbeat);
-  uint64_t leader_fencing_token(int shard, const std::string& machine) const;
+  bool obeys_shard_leader(const Heartbeat& heartbeat, int shard) const;
   bool redirect_to_relay_peer(RequestId request, const Heartbeat& heartbeat,
                               const std::string& shard_leader);
   void send_to_leader(RequestId request, Heartbeat&& heartbeat, const std::string& address);
--- a/src/store/state_cache.cpp
+++ b/src/store/state_cache.cpp
@@ -79,12 +79,15 @@
 }
 
 void StateCache::apply_machine(const std::string& id, const Change& change) {
-  if (const auto* old = machine(id); old && change.mod_revision <= old->mod_revision) return;
+  const auto* old = machine(id);
+  if (old && change.mod_revision <= old->mod_revision) return;
   Versioned<MachineRecord> incoming{machine_record_from_json(*change.value), change.mod_revision};
+  if (!old || old->record.shard != incoming.record.shard) assigned_at_[id] = change.mod_revision;
   const auto& stored = machines_[id] = std::move(incoming);
   const bool deleted = stored.record.phase == MachinePhase::deleted;
   if (deleted) {
     present_machines_.erase(id);
+    assigned_at_.erase(id);
   } else {
     present_machines_[id] = &stored;
   }
@@ -173,6 +176,11 @@
   return find_value(machines_, id);
 }
 
+uint64_t StateCache::assigned_to_shard_at(const std::string& machine) const {
+  const auto* mod_revision = find_value(assigned_at_, machine);
+  return mod_revision ? *mod_revision : 0;
+}
+
 const LeaseHolder* StateCache::lease_holder(const std::string& key) const {
   return find_value(lease_holders_, key);
 }
--- a/src/store/state_cache.h
+++ b/src/store/state_cache.h
@@ -101,6 +101,9 @@
   size_t known_jobs() const { return jobs_.size() + finished_.size(); }
   /// Returns deleted machines, too; null for an unknown one.
   const Versioned<MachineRecord>* machine(const std::string& id) const;
+  /// Returns the mod revision of the first record known that has the machine in its present shard;
+  /// 0 for an unknown machine.
+  uint64_t assigned_to_shard_at(const std::string& machine) const;
   /// Returns null for an unknown key. A deleted key is returned with `present` false.
   const LeaseHolder* lease_holder(const std::string& key) const;
   /// Returns the mod revision of any key; 0 if the key is absent as far as this controller knows.
@@ -144,6 +147,8 @@
   std::unordered_map<std::string, FinishedJob> finished_;  // all other jobs
   std::set<std::string> live_;                             // the keys of `jobs_`, in order
   std::map<std::string, Versioned<MachineRecord>> machines_;
+  // By id of each present machine, the value of `assigned_to_shard_at`.
+  std::unordered_map<std::string, uint64_t> assigned_at_;
   Machines present_machines_;
   Machines terminating_machines_;
   std::map<std::string, LeaseHolder> lease_holders_;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -338,6 +338,30 @@
   }
 }
 
+// A controller forwarded heartbeats only of workers that had seen the newest token of their shard
+// leader. When a machine's record was rewritten, its worker could learn the new token only from a
+// forwarded heartbeat, was redirected to the leader that it can't reach, and lost its tasks.
+TEST(Core, AWorkerThatCannotReachItsLeaderLivesOnWhenItsRecordIsRewritten) {
+  ClusterSimulation::Options options;
+  options.consolidate = false;
+  ClusterSimulation sim(options);
+  sim.submit(spec("job-2", store::JobKind::service, 8, 4, 0), 3);
+  sim.run_until(40);
+  ASSERT_EQ(sim.running("job-2"), 8u);
+  constexpr bool kHold = true;
+  sim.cut_workers(1, 35, kHold);  // node-1 is the shard leader of the team
+  sim.at(48, [&sim] {
+    for (int number = 1; number <= 9; ++number) {
+      const std::string key = "machine/n-00000" + std::to_string(number);
+      if (const auto* record = sim.stored_value(key)) sim.write_key(key, store::Json(*record));
+    }
+  });
+  sim.run_until(120);
+  EXPECT_EQ(sim.running("job-2"), 8u);
+  EXPECT_EQ(sim.starts_of("job-2"), 8u);
+  EXPECT_TRUE(sim.violations.empty()) << first_violation(sim);
+}
+
 // A zone is cut off from everything, and the shard leader of its workers is outside. The controller
 // inside redirected the workers to that leader, and all their tasks ended when the leases expired.
 // It has to keep them alive, while every cancellation that is acknowledged before or during the
