Fence or outlast the starts in flight of cancelled jobs

Cause: a worker carries out a start as long as it has seen no higher token and its session is the same. The leader raised the token only once a later command was answered, while forwarded heartbeats renewed the leases. And no rule limited the renewals where no higher token can be had: the argument on cancellations counted only tasks that heartbeats name.

Why it works: StartFence keeps the second half of the cancellation invariant. The first heartbeat after a failed call makes the leader rewrite the machine's record, and the next answer brings the higher token. Until the worker shows that token or a newer session, its lease is not renewed later than disconnected_limit_s after the first moment at which the user may have been told, so that it ends by cancel_s. CancellationExchange dates each cancellation by the time up to which all were known before. Answers under the worker's own token compare with the records of cancelled jobs. The bound comes from cancel_s and lease_s alone.

The simulation now counts a start after cancel_s as broken, and has held starts as a generated fault.

--- a/src/coordination/membership/cancellation_exchange.cpp
+++ b/src/coordination/membership/cancellation_exchange.cpp
@@ -51,6 +51,28 @@
   coverage.covered_until = std::max(coverage.covered_until, std::optional(query_sent_at));
 }
 
+void CancellationExchange::date_new_cancellations() {
+  const auto& all = state_cache_.cancellations();
+  for (; dated_ < all.size(); ++dated_) recent_.push_back({all[dated_].job, covered_when_dated_});
+  covered_when_dated_ = covered_until().value_or(kLongAgo);
+  const double limit = context_.now - context_.tunables.disconnected_limit_s;
+  while (!recent_.empty() && recent_.front().not_acknowledged_before <= limit) recent_.pop_front();
+}
+
+bool CancellationExchange::acknowledged_within_limit(const std::string& job) const {
+  // A cancellation that became known in this batch has no date yet.
+  const auto& all = state_cache_.cancellations();
+  const auto is_of_job = [&](const auto& cancellation) { return cancellation.job == job; };
+  double not_before = kLongAgo;
+  if (const auto dated = std::find_if(recent_.begin(), recent_.end(), is_of_job);
+      dated != recent_.end()) {
+    not_before = dated->not_acknowledged_before;
+  } else if (std::any_of(all.begin() + static_cast<std::ptrdiff_t>(dated_), all.end(), is_of_job)) {
+    not_before = covered_when_dated_;
+  }
+  return context_.now - not_before < context_.tunables.disconnected_limit_s;
+}
+
 const CancellationPosition& CancellationExchange::position(const std::string& peer) const {
   return coverage_.at(peer).position;
 }
--- a/src/coordination/membership/cancellation_exchange.h
+++ b/src/coordination/membership/cancellation_exchange.h
@@ -49,6 +49,7 @@
 // Called by Membership (offers, answers) and, through it, by the shard controller before it answers
 // a worker.
 #pragma once
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -73,6 +74,13 @@
   /// peer.
   const CancellationPosition& position(const std::string& peer) const;
 
+  /// Notes since when the cancellations that became known since the last call may have been
+  /// acknowledged. Called in each batch.
+  void date_new_cancellations();
+  /// Whether no controller acknowledged the job's cancellation, which is known here, more than
+  /// `disconnected_limit_s` ago.
+  bool acknowledged_within_limit(const std::string& job) const;
+
   /// Whether this controller may answer workers of the shards that it leads.
   bool may_renew_workers() const;
   /// Whether a worker's lease may be renewed without a valid lease at the state store.
@@ -85,6 +93,11 @@
     // Steady time before which all that the peer acknowledged is known here; none: not proven yet.
     std::optional<double> covered_until;
   };
+  /// A cancellation, and the steady time before which no controller acknowledged it to a user.
+  struct DatedCancellation {
+    std::string job;
+    double not_acknowledged_before = 0;
+  };
   /// Records that every cancellation that any controller acknowledged before the steady time `time`
   /// is known here.
   void extend_all_coverage(double time);
@@ -96,6 +109,12 @@
   const StateStoreClient& state_store_;
   PeerDirectory& peers_;
   std::map<std::string, Coverage> coverage_;  // by name of each configured peer
+  // Cancellations that no controller acknowledged more than disconnected_limit_s ago, in the order
+  // in which they became known.
+  std::deque<DatedCancellation> recent_;
+  size_t dated_ = 0;  // number of the state cache's cancellations that were dated
+  // `covered_until` when they were: what was not known then was acknowledged later.
+  double covered_when_dated_ = kLongAgo;
   // `covered_until` for the previous incarnations of this controller.
   std::optional<double> previous_incarnations_covered_until_;
 };
--- a/src/coordination/membership/membership.cpp
+++ b/src/coordination/membership/membership.cpp
@@ -33,6 +33,7 @@
 }
 
 void Membership::tick() {
+  cancellations_.date_new_cancellations();
   peers_.send_due_queries();
   budget_.update();
   shards_.complete_acquisitions();
--- a/src/coordination/membership/membership.h
+++ b/src/coordination/membership/membership.h
@@ -82,6 +82,11 @@
   bool may_renew_while_disconnected() const {
     return cancellations_.may_renew_while_disconnected();
   }
+  /// Whether no controller acknowledged the job's cancellation, which is known here, more than
+  /// `disconnected_limit_s` ago.
+  bool cancelled_within_limit(const std::string& job) const {
+    return cancellations_.acknowledged_within_limit(job);
+  }
   /// Returns, for the answer to a peer, the cancellations that the peer's query does not show it to
   /// know.
   CancellationOffer offer_cancellations(const PeerState& requester) const {
--- a/src/coordination/shard/command_dispatcher.cpp
+++ b/src/coordination/shard/command_dispatcher.cpp
@@ -1,13 +1,10 @@
 #include "coordination/shard/command_dispatcher.h"
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
 namespace rushtrestle::coordination {
 
-using store::MachineRecord;
-
 namespace {
 // HTTP statuses of the answers to commands that carry the worker's heartbeat.
 constexpr int kOk = 200;
@@ -70,6 +67,7 @@
   machine.command_in_flight = true;
   context_.counters["direct_commands"]++;
   const SentCommands sent{machine.id, state_.fencing_token(machine), reconciled.has_start};
+  if (sent.has_start) StartFence::on_start_sent(machine);
   const bool silent = machine.commands_failing_since > 0;
   ++commands_in_flight_;
   if (silent) ++silent_commands_in_flight_;
@@ -89,6 +87,7 @@
   const auto* heartbeat = std::get_if<Heartbeat>(&done.reply);
   const bool answered = done.status == kOk || done.status == kConflict;
   if (answered && heartbeat && heartbeat->machine == sent.machine) {
+    if (sent.has_start) StartFence::on_start_answered(*machine);
     on_commands_answered(*machine, *heartbeat, done.status);
   } else {
     on_commands_failed(*machine, sent);
@@ -102,15 +101,10 @@
   dispatch_queue_.add(machine.id);
   if (status == kConflict && heartbeat.fencing_token > state_.fencing_token(machine))
     machine.next_dispatch = context_.now + context_.tunables.probe_every_s;
-  // The worker can be reached again. Any write of its machine record yields a new fencing token,
-  // and a worker that has seen that token drops the start that may still be in flight.
-  if (machine.unacknowledged_start != 0)
-    machine_writer_.enqueue(machine.id, WriteCause::other, [](MachineRecord&) { return true; });
 }
 
 void CommandDispatcher::on_commands_failed(ShardMachine& machine, const SentCommands& sent) {
-  if (sent.has_start)
-    machine.unacknowledged_start = std::max(machine.unacknowledged_start, sent.fencing_token);
+  if (sent.has_start) start_fence_.on_start_unanswered(machine, sent.fencing_token);
   if (machine.commands_failing_since == 0) {
     machine.commands_failing_since = context_.now;
     machine.epoch_when_commands_failed = machine.agent_epoch;
--- a/src/coordination/shard/command_dispatcher.h
+++ b/src/coordination/shard/command_dispatcher.h
@@ -2,9 +2,8 @@
 //
 // Invariant: each worker has at most one call with commands in flight. All workers together have at
 // most `command_slots` such calls, as each takes a socket; the machines that did not answer their
-// last call share `silent_command_slots` of them. The fencing token of an unanswered start is kept
-// until the worker shows that the start can no longer arrive. Called by ShardController at the end
-// of each batch.
+// last call share `silent_command_slots` of them. The StartFence is told of each start that is
+// sent, and what became of it. Called by ShardController at the end of each batch.
 #pragma once
 #include <cstdint>
 #include <string>
@@ -18,7 +17,7 @@
  public:
   CommandDispatcher(Context& context, store::StateCache& state_cache, const Membership& membership,
                     ShardState& state, DispatchQueue& dispatch_queue, HeartbeatIntake& intake,
-                    TaskReconciler& reconciler, MachineRecordWriter& machine_writer)
+                    TaskReconciler& reconciler, StartFence& start_fence)
       : context_(context),
         state_cache_(state_cache),
         membership_(membership),
@@ -26,7 +25,7 @@
         dispatch_queue_(dispatch_queue),
         intake_(intake),
         reconciler_(reconciler),
-        machine_writer_(machine_writer) {}
+        start_fence_(start_fence) {}
 
   /// Sends commands to machines that are due. Must be called at the end of each batch.
   void dispatch_due_commands();
@@ -58,7 +57,7 @@
   DispatchQueue& dispatch_queue_;
   HeartbeatIntake& intake_;
   TaskReconciler& reconciler_;
-  MachineRecordWriter& machine_writer_;
+  StartFence& start_fence_;
   /// Id of the machine that was dispatched last; the next batch continues after it.
   std::string last_dispatched_;
   size_t commands_in_flight_ = 0;
--- a/src/coordination/shard/heartbeat_handler.cpp
+++ b/src/coordination/shard/heartbeat_handler.cpp
@@ -111,10 +111,21 @@
   return true;
 }
 
-HeartbeatResponse HeartbeatHandler::renew_under_worker_token(const Heartbeat& heartbeat) const {
+HeartbeatResponse HeartbeatHandler::renew_under_worker_token(const Heartbeat& heartbeat) {
+  if (!start_fence_.may_renew_under_worker_token(heartbeat)) return withhold_renewal(heartbeat);
   return {kOk, heartbeat.fencing_token, stops_for_cancelled_tasks(heartbeat), ""};
 }
 
+// Without a renewal the worker's lease ends, and with it the agent epoch in which the start of a
+// cancelled task may still arrive.
+HeartbeatResponse HeartbeatHandler::withhold_renewal(const Heartbeat& heartbeat) {
+  context_.counters["renewals_withheld"]++;
+  context_.log_rate_limited("withheld",
+                            "renewal_withheld machine=" + heartbeat.machine +
+                                " fencing_token=" + std::to_string(heartbeat.fencing_token));
+  return {};
+}
+
 // Stops of cancelled tasks are valid whichever controller sends them and whatever else is in
 // flight, so every answer that renews a lease carries them.
 std::vector<WorkerCommand> HeartbeatHandler::stops_for_cancelled_tasks(
@@ -149,6 +160,7 @@
     return {};
   machine->last_heartbeat = context_.now;
   std::vector<WorkerCommand> commands = apply_and_reconcile(*machine, heartbeat, source);
+  if (!start_fence_.may_renew(*machine, heartbeat)) return withhold_renewal(heartbeat);
   return {kOk, state_.fencing_token(*machine), std::move(commands), ""};
 }
 
--- a/src/coordination/shard/heartbeat_handler.h
+++ b/src/coordination/shard/heartbeat_handler.h
@@ -2,8 +2,8 @@
 // reconciled; any other is forwarded to the shard leader, or its worker is redirected.
 //
 // Invariant: an answer renews the worker's lease only if Membership::may_renew_workers (or, without
-// the state store, may_renew_while_disconnected) holds, and then carries a stop for each cancelled
-// task that the worker reports. Called by Core for each heartbeat.
+// the state store, may_renew_while_disconnected) and the StartFence allow it, and then carries a
+// stop for each cancelled task that the worker reports. Called by Core for each heartbeat.
 #pragma once
 #include <cstdint>
 #include <string>
@@ -20,7 +20,7 @@
   HeartbeatHandler(Context& context, store::StateCache& state_cache,
                    const StateStoreClient& state_store, const Membership& membership,
                    ShardState& state, DispatchQueue& dispatch_queue, HeartbeatIntake& intake,
-                   TaskReconciler& reconciler)
+                   TaskReconciler& reconciler, const StartFence& start_fence)
       : context_(context),
         state_cache_(state_cache),
         state_store_(state_store),
@@ -28,7 +28,8 @@
         state_(state),
         dispatch_queue_(dispatch_queue),
         intake_(intake),
-        reconciler_(reconciler) {}
+        reconciler_(reconciler),
+        start_fence_(start_fence) {}
 
   /// Handles a heartbeat that a worker sent to this controller. It is answered with
   /// AnswerHeartbeat, at once or when the shard leader has answered.
@@ -57,7 +58,8 @@
                               const std::string& shard_leader);
   void send_to_leader(RequestId request, Heartbeat&& heartbeat, const std::string& address);
   bool renew_while_disconnected(RequestId request, const Heartbeat& heartbeat);
-  HeartbeatResponse renew_under_worker_token(const Heartbeat& heartbeat) const;
+  HeartbeatResponse renew_under_worker_token(const Heartbeat& heartbeat);
+  HeartbeatResponse withhold_renewal(const Heartbeat& heartbeat);
   std::vector<WorkerCommand> stops_for_cancelled_tasks(const Heartbeat& heartbeat) const;
 
   Context& context_;
@@ -68,6 +70,7 @@
   DispatchQueue& dispatch_queue_;
   HeartbeatIntake& intake_;
   TaskReconciler& reconciler_;
+  const StartFence& start_fence_;
   /// Steady time, in seconds, of the last heartbeat sent here, by machine of any shard.
   std::unordered_map<std::string, double> last_heard_at_;
   /// Steady time, in seconds, since which heartbeats are forwarded, by machine; only machines of
--- a/src/coordination/shard/heartbeat_intake.cpp
+++ b/src/coordination/shard/heartbeat_intake.cpp
@@ -34,7 +34,7 @@
       std::make_pair(machine.agent_epoch, machine.sequence))
     return false;
   log_inconsistencies(heartbeat);
-  clear_unacknowledged_start(machine, heartbeat);
+  start_fence_.on_heartbeat(machine, heartbeat);
   if (!machine.heartbeat_received) state_.request_scheduling();
   machine.heartbeat_received = true;
   machine.agent_epoch = heartbeat.agent_epoch;
@@ -54,16 +54,6 @@
   return true;
 }
 
-// An unanswered start can no longer arrive in a newer agent epoch, as the worker drops late
-// commands of the old epoch and the tasks that ran in it are gone. Nor can it arrive once the
-// worker has seen a higher fencing token than that of the start.
-void HeartbeatIntake::clear_unacknowledged_start(ShardMachine& machine,
-                                                 const Heartbeat& heartbeat) {
-  if (heartbeat.agent_epoch > machine.agent_epoch ||
-      heartbeat.fencing_token > machine.unacknowledged_start)
-    machine.unacknowledged_start = 0;
-}
-
 // The cloud takes the machine back in `notice_s` seconds. Tasks that can save a checkpoint in that
 // time are stopped and placed elsewhere; the others run until the machine is taken back.
 void HeartbeatIntake::stop_tasks_that_can_save(ShardMachine& machine, double notice_s) {
--- a/src/coordination/shard/heartbeat_intake.h
+++ b/src/coordination/shard/heartbeat_intake.h
@@ -5,19 +5,21 @@
 // the last one applied. Called by HeartbeatHandler and CommandDispatcher.
 #pragma once
 #include "coordination/shard/job_record_writer.h"
-#include "coordination/shard/machine_record_writer.h"
+#include "coordination/shard/start_fence.h"
 
 namespace rushtrestle::coordination {
 
 class HeartbeatIntake {
  public:
   HeartbeatIntake(Context& context, store::StateCache& state_cache, ShardState& state,
-                  JobRecordWriter& job_writer, MachineRecordWriter& machine_writer)
+                  JobRecordWriter& job_writer, MachineRecordWriter& machine_writer,
+                  StartFence& start_fence)
       : context_(context),
         state_cache_(state_cache),
         state_(state),
         job_writer_(job_writer),
-        machine_writer_(machine_writer) {}
+        machine_writer_(machine_writer),
+        start_fence_(start_fence) {}
 
   /// Applies the heartbeat to the machine. Returns false and changes nothing if the heartbeat is
   /// not newer than the last one applied.
@@ -25,7 +27,6 @@
 
  private:
   void log_inconsistencies(const Heartbeat& heartbeat);
-  void clear_unacknowledged_start(ShardMachine& machine, const Heartbeat& heartbeat);
   void stop_tasks_that_can_save(ShardMachine& machine, double notice_s);
 
   Context& context_;
@@ -33,6 +34,7 @@
   ShardState& state_;
   JobRecordWriter& job_writer_;
   MachineRecordWriter& machine_writer_;
+  StartFence& start_fence_;
 };
 
 }  // namespace rushtrestle::coordination
--- a/src/coordination/shard/shard_controller.h
+++ b/src/coordination/shard/shard_controller.h
@@ -52,6 +52,7 @@
   JobRecordWriter job_writer_;
   MachineRecordWriter machine_writer_;
   FailureTracker failures_;
+  StartFence start_fence_;
   TaskReconciler reconciler_;
   HeartbeatIntake intake_;
   HeartbeatHandler heartbeats_;
--- a/src/coordination/shard/shard_machine.h
+++ b/src/coordination/shard/shard_machine.h
@@ -53,6 +53,7 @@
 
   // Commands that this controller pushes, not those in its answers to heartbeats.
   bool command_in_flight = false;
+  bool start_in_flight = false;  // a start is among the commands in flight
   bool dispatch_wanted = false;
   double next_dispatch = 0;
   /// When commands began to fail; 0: the last command was answered.
--- /dev/null
+++ b/src/coordination/shard/start_fence.h
@@ -0,0 +1,61 @@
+// Keeps a start command that was sent earlier from being carried out after its job was cancelled.
+//
+// A worker carries out a pushed command as long as it has seen no higher fencing token and is in
+// the same agent epoch, however late the command arrives. So a start that was not answered may run
+// a cancelled task minutes later, while the worker's heartbeats arrive by another path, or on
+// another connection, and its lease is renewed.
+//
+// Invariant: a lease is renewed only while each start that may still arrive is of a job that is
+// open or whose cancellation was acknowledged less than `disconnected_limit_s` ago. So the worker
+// either shows in time that it has seen a higher token, or its lease expires by `cancel_s`, which
+// begins another agent epoch. docs/architecture.md (Cancellation) has the whole argument.
+//
+// Called by HeartbeatIntake, HeartbeatHandler, TaskReconciler and CommandDispatcher.
+#pragma once
+#include <cstdint>
+#include <string>
+
+#include "coordination/shard/machine_record_writer.h"
+
+namespace rushtrestle::coordination {
+
+class StartFence {
+ public:
+  StartFence(Context& context, const store::StateCache& state_cache, const Membership& membership,
+             const ShardState& state, MachineRecordWriter& machine_writer)
+      : context_(context),
+        state_cache_(state_cache),
+        membership_(membership),
+        state_(state),
+        machine_writer_(machine_writer) {}
+
+  /// Notes that a call with a start command is sent to the machine.
+  static void on_start_sent(ShardMachine& machine);
+  /// Notes that the call was answered, so that its commands were carried out or refused.
+  static void on_start_answered(ShardMachine& machine);
+  /// Notes that the call with the start, sent under this token, was not answered.
+  void on_start_unanswered(ShardMachine& machine, uint64_t fencing_token);
+  /// Handles a newer heartbeat of the machine, before it is applied: forgets an unanswered start
+  /// that can no longer arrive, else raises the fencing token above that of the start.
+  void on_heartbeat(ShardMachine& machine, const Heartbeat& heartbeat);
+
+  /// Whether the worker may still carry out a start that this controller or an earlier shard leader
+  /// sent.
+  bool start_may_arrive(const ShardMachine& machine) const;
+  /// Whether the answer to this heartbeat of a machine whose shard is led here may renew the
+  /// worker's lease.
+  bool may_renew(const ShardMachine& machine, const Heartbeat& heartbeat) const;
+  /// The same for an answer under the worker's own token, which fences no earlier command.
+  bool may_renew_under_worker_token(const Heartbeat& heartbeat) const;
+
+ private:
+  bool too_late_to_start(const std::string& job) const;
+
+  Context& context_;
+  const store::StateCache& state_cache_;
+  const Membership& membership_;
+  const ShardState& state_;
+  MachineRecordWriter& machine_writer_;
+};
+
+}  // namespace rushtrestle::coordination
--- a/src/coordination/shard/task_reconciler.cpp
+++ b/src/coordination/shard/task_reconciler.cpp
@@ -95,26 +95,20 @@
   if (durably_placed && !runs_though_cancelled) return;
   if (!ended) {
     result.commands.push_back(command_for(WorkerVerb::stop, reported));
-  } else if (no_earlier_start_can_arrive(machine)) {
+  } else if (!start_fence_.start_may_arrive(machine)) {
     // If the worker forgot the task earlier, a late start of this attempt would run it again.
     result.commands.push_back(command_for(WorkerVerb::forget, reported));
   }
 }
 
-// Returns true if no start is unacknowledged and the worker has seen the current fencing token, so
-// that it drops commands of former shard leaders.
-bool TaskReconciler::no_earlier_start_can_arrive(const ShardMachine& machine) const {
-  return machine.unacknowledged_start == 0 &&
-         machine.highest_token_seen >= state_.fencing_token(machine);
-}
-
 // Handles tasks that are placed on the machine but not reported. They are started or, if they were
 // to be stopped, unbound once they are known to be gone.
 void TaskReconciler::start_missing_tasks(ShardMachine& machine, const std::set<TaskKey>& present,
                                          WorkerCommands& result) {
   // Absence is proof only if the worker has seen the current fencing token and no command is in
   // flight: a start that arrives later would run a task that was taken for gone.
-  const bool absence_is_proof = no_earlier_start_can_arrive(machine) && !machine.command_in_flight;
+  const bool absence_is_proof =
+      !start_fence_.start_may_arrive(machine) && !machine.command_in_flight;
   // No task is started on a machine that reaches no controller, even if commands reach it: the
   // worker's lease would soon expire and end the task.
   const bool may_start = can_commit_decisions(state_store_) && state_.sends_heartbeats(machine);
--- a/src/coordination/shard/task_reconciler.h
+++ b/src/coordination/shard/task_reconciler.h
@@ -11,6 +11,7 @@
 
 #include "coordination/shard/failure_tracker.h"
 #include "coordination/shard/job_record_writer.h"
+#include "coordination/shard/start_fence.h"
 
 namespace rushtrestle::coordination {
 
@@ -24,13 +25,15 @@
  public:
   TaskReconciler(Context& context, store::StateCache& state_cache,
                  const StateStoreClient& state_store, ShardState& state,
-                 JobRecordWriter& job_writer, FailureTracker& failures)
+                 JobRecordWriter& job_writer, FailureTracker& failures,
+                 const StartFence& start_fence)
       : context_(context),
         state_cache_(state_cache),
         state_store_(state_store),
         state_(state),
         job_writer_(job_writer),
-        failures_(failures) {}
+        failures_(failures),
+        start_fence_(start_fence) {}
 
   /// Applies the machine's last heartbeat to the jobs of its tasks, and returns the commands that
   /// the worker needs; none before the machine's first heartbeat.
@@ -40,7 +43,6 @@
   void update_task(ShardJob& job, const ReportedTask& reported, WorkerCommands& result);
   void stop_unexpected_task(const ShardMachine& machine, const ReportedTask& reported,
                             WorkerCommands& result) const;
-  bool no_earlier_start_can_arrive(const ShardMachine& machine) const;
   void start_missing_tasks(ShardMachine& machine, const std::set<TaskKey>& present,
                            WorkerCommands& result);
   void unbind_gone_tasks(const std::vector<TaskKey>& gone);
@@ -54,6 +56,7 @@
   ShardState& state_;
   JobRecordWriter& job_writer_;
   FailureTracker& failures_;
+  const StartFence& start_fence_;
 };
 
 }  // namespace rushtrestle::coordination
--- a/src/store/state_cache.cpp
+++ b/src/store/state_cache.cpp
@@ -65,6 +65,7 @@
   } else {
     live_.insert(id);
   }
+  update_cancelled_live(id);
   listener_.on_job_changed(id);
   if (finished) compact_finished_job(id);
 }
@@ -133,6 +134,7 @@
   const CancellationNovelty novelty = cancellation_novelty(id);
   found->second.record.status = JobStatus::cancelled;
   confirm_cancellation({id, change.mod_revision}, novelty);
+  update_cancelled_live(id);
   listener_.on_job_changed(id);
 }
 
@@ -152,9 +154,18 @@
   if (cancelled(id) || job_mod_revision(id) >= cancellation.mod_revision) return;
   unconfirmed_cancellations_.insert(id);
   cancellations_.push_back(cancellation);
+  update_cancelled_live(id);
   if (known) listener_.on_job_changed(id);
 }
 
+void StateCache::update_cancelled_live(const std::string& id) {
+  if (live_.count(id) != 0 && cancelled(id)) {
+    cancelled_live_.insert(id);
+  } else {
+    cancelled_live_.erase(id);
+  }
+}
+
 bool StateCache::cancelled(const std::string& id) const {
   if (const auto* live = job(id); live && live->record.status == JobStatus::cancelled) return true;
   if (const auto* finished = finished_job(id); finished && finished->status == JobStatus::cancelled)
--- a/src/store/state_cache.h
+++ b/src/store/state_cache.h
@@ -122,6 +122,9 @@
   const MachineType* type(const std::string& name) const;
   /// Returns the jobs that have not finished or still hold machines.
   const std::set<std::string>& live_jobs() const { return live_; }
+  /// Returns the live jobs that are cancelled: their tasks were not all known to be gone when the
+  /// record was written.
+  const std::set<std::string>& cancelled_live_jobs() const { return cancelled_live_; }
 
  private:
   /// Whether a cancellation was known before the change that is being applied.
@@ -140,12 +143,15 @@
   CancellationNovelty cancellation_novelty(const std::string& id) const;
   void confirm_cancellation(const Cancellation& cancellation, CancellationNovelty novelty);
 
+  void update_cancelled_live(const std::string& id);
+
   Listener& listener_;
   uint64_t revision_ = 0;
   // Jobs that have not finished or still hold machines.
   std::unordered_map<std::string, Versioned<JobRecord>> jobs_;
   std::unordered_map<std::string, FinishedJob> finished_;  // all other jobs
   std::set<std::string> live_;                             // the keys of `jobs_`, in order
+  std::set<std::string> cancelled_live_;                   // those of them that are cancelled
   std::map<std::string, Versioned<MachineRecord>> machines_;
   // By id of each present machine, the value of `assigned_to_shard_at`.
   std::unordered_map<std::string, uint64_t> assigned_at_;
--- a/tests/simulation/generated_faults.cpp
+++ b/tests/simulation/generated_faults.cpp
@@ -12,10 +12,37 @@
       [](int at, int kind, size_t target, int for_s, bool variant) {
         return Fault{static_cast<double>(at), kind, target, static_cast<double>(for_s), variant};
       },
-      rc::gen::inRange(20, 110), rc::gen::inRange(0, 31), rc::gen::inRange<size_t>(0, 12),
+      rc::gen::inRange(20, 110), rc::gen::inRange(0, 32), rc::gen::inRange<size_t>(0, 12),
       rc::gen::inRange(3, 45), rc::gen::arbitrary<bool>());
 }
 
+namespace {
+
+// A controller loses its workers for longer than cancel_s, while jobs are submitted and cancelled:
+// their starts arrive at the end.
+void hold_starts_of_cancelled_jobs(ClusterSimulation& sim, const Fault& fault) {
+  constexpr bool kHold = true;
+  constexpr int kJobs = 3;
+  sim.cut_workers(static_cast<int>(fault.target % 3), sim.settings().cancel_s + fault.for_s / 3,
+                  kHold);
+  for (int i = 0; i < kJobs; ++i) {
+    store::JobSpec spec;
+    spec.id = "job-held" + std::to_string(static_cast<int>(fault.at)) + "x" +
+              std::to_string(fault.target) + (fault.variant ? "r" : "b") + std::to_string(i);
+    spec.job_class = "batch";
+    spec.team = fault.variant ? "red" : "blue";
+    spec.tasks = 2;
+    spec.per_task = {1, 0, 1};
+    spec.image = "img-" + std::to_string(i);
+    spec.image_gb = 1;
+    spec.estimate_s = 200;
+    sim.submit(spec, sim.now());
+    sim.cancel(spec.id, sim.now() + 1 + i);
+  }
+}
+
+}  // namespace
+
 void inject(ClusterSimulation& sim, const Fault& fault) {
   const int node = static_cast<int>(fault.target % 3);
   switch (fault.kind) {
@@ -75,6 +102,7 @@
       sim.starve_node(node, 0.1, fault.for_s);
       break;  // a single pause between a decision and the sending of its effects
     case 29: sim.submit_malformed_jobs(fault.for_s); break;
+    case 30: hold_starts_of_cancelled_jobs(sim, fault); break;
     default: sim.duplicate_heartbeats(fault.for_s, fault.for_s); break;
   }
 }
--- a/tests/simulation/rule_checks.cpp
+++ b/tests/simulation/rule_checks.cpp
@@ -13,6 +13,8 @@
   ++job.starts;
   ++job.starts_by_attempt[attempt];
   if (job.cancellation_confirmed) ++starts_after_cancellation_;
+  if (job.cancellation_confirmed && now_ - job.cancellation_confirmed_at > settings_.cancel_s)
+    fail("ran_cancelled: " + job_id + " starts on " + worker.id);
   std::map<std::string, uint32_t> zones;
   uint32_t others = 0;
   for (const auto& id : machines_of_job_[job_id]) {
