A controller without records renews no lease that another one can't vouch for

Cause: a controller that restarted in an outage of the state store has read no keys. It renewed leases under the workers' own tokens, which fence nothing, for disconnected_limit_s after the beginning of the outage, and could not know that the start of a job cancelled before may arrive.

Why it works: it answers like this only heartbeats that another controller forwards, and marks the answer (own_token, an optional field between controllers). The other one has the records: it drops the answer if a start of a cancelled job may still arrive too late.

--- a/src/coordination/membership/membership.h
+++ b/src/coordination/membership/membership.h
@@ -103,6 +103,10 @@
   std::string address_of(const std::string& node) const {
     return peers_.address_of(node).value_or("");
   }
+  /// Whether the peer is alive and has read all keys of the state store.
+  bool synced(const std::string& node) const { return peers_.synced(node); }
+  /// Name of a live peer that has read all keys of the state store; empty: none.
+  std::string synced_peer() const { return peers_.synced_peer().value_or(""); }
   /// Name of a live peer that reports `node` as alive; empty: none.
   std::string relay_peer(const std::string& node) const {
     return peers_.relay_peer(node).value_or("");
--- a/src/coordination/membership/peer_directory.cpp
+++ b/src/coordination/membership/peer_directory.cpp
@@ -139,6 +139,18 @@
   return peer->settings.address;
 }
 
+bool PeerDirectory::synced(const std::string& node) const {
+  const Peer* peer = find(node);
+  return peer && alive(*peer) && peer->state.synced;
+}
+
+std::optional<std::string> PeerDirectory::synced_peer() const {
+  const auto peer = std::find_if(peers_.begin(), peers_.end(), [&](const Peer& candidate) {
+    return alive(candidate) && candidate.state.synced;
+  });
+  return peer == peers_.end() ? std::nullopt : std::optional(peer->settings.node);
+}
+
 std::optional<std::string> PeerDirectory::relay_peer(const std::string& node) const {
   for (const auto& peer : peers_) {
     if (!alive(peer) || peer.settings.node == node) continue;
--- a/src/coordination/membership/peer_directory.h
+++ b/src/coordination/membership/peer_directory.h
@@ -80,6 +80,10 @@
   std::vector<std::string> live_peers() const;
   /// Address of a live peer; none: the peer is not alive, or not in the settings.
   std::optional<std::string> address_of(const std::string& node) const;
+  /// Whether the controller is alive and has read all keys of the state store.
+  bool synced(const std::string& node) const;
+  /// Name of a live peer that has read all keys of the state store; none: no such peer.
+  std::optional<std::string> synced_peer() const;
   /// Name of a live peer that reports the controller `node` as alive and can forward heartbeats
   /// to it; none: no such peer.
   std::optional<std::string> relay_peer(const std::string& node) const;
--- a/src/coordination/runtime/worker_messages.h
+++ b/src/coordination/runtime/worker_messages.h
@@ -59,6 +59,9 @@
   std::vector<WorkerCommand> commands;
   /// With 421: the controller to send heartbeats to; may be empty.
   std::string redirect;
+  /// With 200: the token is the worker's own and fences no earlier command, because a controller
+  /// that knows no records answered. Only in answers to forwarded heartbeats.
+  bool under_worker_token = false;
 };
 
 // ---- commands ----
--- a/src/coordination/shard/heartbeat_handler.cpp
+++ b/src/coordination/shard/heartbeat_handler.cpp
@@ -45,7 +45,7 @@
     return false;
   const std::string shard_leader = membership_.shard_leader(durable->record.shard);
   if (shard_leader.empty() || shard_leader == context_.settings.node ||
-      !obeys_shard_leader(heartbeat, durable->record.shard)) {
+      turns_to_shard_leader(heartbeat, durable->record.shard, shard_leader)) {
     forwarding_since_.erase(heartbeat.machine);
     return false;
   }
@@ -66,12 +66,16 @@
   return true;
 }
 
-// Whether the worker has seen a token of the machine's shard leader, as far as the state cache
-// knows. It need not be the highest one: when the machine's record was rewritten, a worker that
-// can't reach the leader can learn the new token only from the answer to a forwarded heartbeat.
-bool HeartbeatHandler::obeys_shard_leader(const Heartbeat& heartbeat, int shard) const {
-  return heartbeat.fencing_token >= std::max(state_cache_.mod_revision_of(store::shard_key(shard)),
-                                             state_cache_.assigned_to_shard_at(heartbeat.machine));
+// Whether the worker is to turn to the shard leader itself: it has seen no token of the leader, as
+// far as the state cache knows, and the leader can command it. The token need not be the highest
+// one: when the machine's record was rewritten, a worker that can't reach the leader can learn the
+// new token only from the answer to a forwarded heartbeat.
+bool HeartbeatHandler::turns_to_shard_leader(const Heartbeat& heartbeat, int shard,
+                                             const std::string& shard_leader) const {
+  const uint64_t leader_token = std::max(state_cache_.mod_revision_of(store::shard_key(shard)),
+                                         state_cache_.assigned_to_shard_at(heartbeat.machine));
+  const bool obeys_leader = heartbeat.fencing_token >= leader_token;
+  return !obeys_leader && (membership_.synced(shard_leader) || state_store_.lease_valid());
 }
 
 // Redirects the worker to a peer that hears the shard leader and can forward the worker's
@@ -88,11 +92,14 @@
                                       const std::string& address) {
   ++forwards_in_flight_;
   context_.counters["reports_passed_on"]++;
+  const bool own_token_suffices = start_fence_.may_renew_under_worker_token(heartbeat);
   context_.call(ForwardHeartbeat{address, std::move(heartbeat)},
-                context_.tunables.command_timeout_s, [this, request](CallDone&& done) {
+                context_.tunables.command_timeout_s,
+                [this, request, own_token_suffices](CallDone&& done) {
                   --forwards_in_flight_;
                   auto* response = std::get_if<HeartbeatResponse>(&done.reply);
-                  const bool answered = done.status == kOk && response;
+                  const bool answered = done.status == kOk && response &&
+                                        (own_token_suffices || !response->under_worker_token);
                   answer(request, answered ? std::move(*response) : HeartbeatResponse{});
                 });
 }
@@ -116,6 +123,19 @@
   return {kOk, heartbeat.fencing_token, stops_for_cancelled_tasks(heartbeat), ""};
 }
 
+// Which starts may still reach the worker is known only to controllers that have read the keys. So
+// a worker that reports here is redirected to one of them, which forwards its heartbeats and checks
+// that when it passes the answer on.
+HeartbeatResponse HeartbeatHandler::renew_without_keys(const Heartbeat& heartbeat,
+                                                       HeartbeatSource source) {
+  if (state_store_.ever_synced()) return renew_under_worker_token(heartbeat);
+  if (source == HeartbeatSource::worker) return redirect_to(membership_.synced_peer());
+  HeartbeatResponse response{kOk, heartbeat.fencing_token, stops_for_cancelled_tasks(heartbeat),
+                             ""};
+  response.under_worker_token = true;
+  return response;
+}
+
 // Without a renewal the worker's lease ends, and with it the agent epoch in which the start of a
 // cancelled task may still arrive.
 HeartbeatResponse HeartbeatHandler::withhold_renewal(const Heartbeat& heartbeat) {
@@ -145,7 +165,7 @@
   // own fencing token, so that its tasks go on.
   if (!state_store_.synced() && membership_.all_peers_lack_state_store() &&
       membership_.may_renew_while_disconnected())
-    return renew_under_worker_token(heartbeat);
+    return renew_without_keys(heartbeat, source);
   if (!durable || durable->record.terminating()) return {};
   const int shard = durable->record.shard;
   ShardMachine* machine = state_.find_machine(heartbeat.machine);
--- a/src/coordination/shard/heartbeat_handler.h
+++ b/src/coordination/shard/heartbeat_handler.h
@@ -53,12 +53,14 @@
   /// Returns true if the heartbeat was answered, or forwarded to the shard leader, whose answer is
   /// passed on later; only then may the heartbeat be moved from. False: the caller answers it.
   bool forward(RequestId request, Heartbeat& heartbeat);
-  bool obeys_shard_leader(const Heartbeat& heartbeat, int shard) const;
+  bool turns_to_shard_leader(const Heartbeat& heartbeat, int shard,
+                             const std::string& shard_leader) const;
   bool redirect_to_relay_peer(RequestId request, const Heartbeat& heartbeat,
                               const std::string& shard_leader);
   void send_to_leader(RequestId request, Heartbeat&& heartbeat, const std::string& address);
   bool renew_while_disconnected(RequestId request, const Heartbeat& heartbeat);
   HeartbeatResponse renew_under_worker_token(const Heartbeat& heartbeat);
+  HeartbeatResponse renew_without_keys(const Heartbeat& heartbeat, HeartbeatSource source);
   HeartbeatResponse withhold_renewal(const Heartbeat& heartbeat);
   std::vector<WorkerCommand> stops_for_cancelled_tasks(const Heartbeat& heartbeat) const;
 
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -55,6 +55,7 @@
 constexpr const char* kStatus = "status";
 constexpr const char* kCommands = "commands";
 constexpr const char* kRedirect = "redirect";
+constexpr const char* kUnderWorkerToken = "own_token";  // absent: false
 
 // ---- the exchange of cancellations ----
 
@@ -209,10 +210,12 @@
 Json heartbeat_response_json(const HeartbeatResponse& response) {
   Json commands = Json::array();
   for (const auto& command : response.commands) commands.push_back(command_json(command));
-  return {{kStatus, response.status},
-          {kFencingToken, response.fencing_token},
-          {kCommands, std::move(commands)},
-          {kRedirect, response.redirect}};
+  Json json = {{kStatus, response.status},
+               {kFencingToken, response.fencing_token},
+               {kCommands, std::move(commands)},
+               {kRedirect, response.redirect}};
+  if (response.under_worker_token) json[kUnderWorkerToken] = true;
+  return json;
 }
 
 HeartbeatResponse heartbeat_response_from_json(const Json& json) {
@@ -220,7 +223,8 @@
   HeartbeatResponse response{fields.get<int>(kStatus),
                              fields.get<uint64_t>(kFencingToken),
                              {},
-                             fields.get<std::string>(kRedirect)};
+                             fields.get<std::string>(kRedirect),
+                             fields.flag_or(kUnderWorkerToken, false)};
   for (const auto& command : json.at(kCommands))
     response.commands.push_back(command_from_json(command));
   return response;
