List all keys anew when a watch reply is larger than a controller reads

HttpClient reported a response that it dropped for its size as none, so the watch was repeated from the same revision, for a response that only grew, until the 410 after 10,000 changes.

In the simulation the size of the reply alone decides; it could not be limited before.

Why it works: the client tells a reply that is too large from none, and ListAndWatch treats it as the 410: the changes can't be had, so all keys are read again, in pages.

--- a/src/coordination/runtime/messages.h
+++ b/src/coordination/runtime/messages.h
@@ -23,6 +23,8 @@
   CallId call = 0;
   int status = 0;
   Reply reply;
+  /// With status 0: a reply came, but its body exceeds what a controller reads, and was dropped.
+  bool reply_too_large = false;
 };
 
 /// Runs the timed work of the core; carries nothing else.
--- a/src/coordination/state/list_and_watch.cpp
+++ b/src/coordination/state/list_and_watch.cpp
@@ -93,22 +93,22 @@
 // this repeated on every list, the controller never had a state cache.
 void ListAndWatch::watch_between_pages() {
   const double sent_at = context_.now;
-  context_.call(
-      Watch{list_->watched_revision, 0}, context_.settings.heartbeat_interval_s,
-      [this, sent_at](CallDone&& done) {
-        const auto* reply = std::get_if<WatchReply>(&done.reply);
-        if (done.status == response_status::kHistoryGone) {  // the list was paused too long
-          connectivity_.on_success(sent_at);
-          list_.reset();
-          listing_ = false;
-          return;
-        }
-        if (done.status != response_status::kOk || !reply) return pause_list(sent_at, done.status);
-        connectivity_.on_success(sent_at);
-        apply(reply->events);
-        list_->watched_revision = std::max(list_->watched_revision, reply->revision);
-        list_page();
-      });
+  context_.call(Watch{list_->watched_revision, 0}, context_.settings.heartbeat_interval_s,
+                [this, sent_at](CallDone&& done) {
+                  const auto* reply = std::get_if<WatchReply>(&done.reply);
+                  if (must_list_anew(done)) {  // the list was paused too long
+                    connectivity_.on_success(sent_at);
+                    list_.reset();
+                    listing_ = false;
+                    return;
+                  }
+                  if (done.status != response_status::kOk || !reply)
+                    return pause_list(sent_at, done.status);
+                  connectivity_.on_success(sent_at);
+                  apply(reply->events);
+                  list_->watched_revision = std::max(list_->watched_revision, reply->revision);
+                  list_page();
+                });
 }
 
 // Only lease keys are ever deleted, and a gap in the watched changes may have hidden a deletion. A
@@ -149,9 +149,21 @@
                 [this, sent_at](CallDone&& done) { on_watch_returned(sent_at, done); });
 }
 
+// Whether the changes since the watched revision can't be had: the state store no longer retains
+// them, or there are more than this controller reads in one response. A watch response has no size
+// limit, and one from the same revision is only larger the next time: a controller that was refused
+// for a while asked for ever, and answered every question with 503.
+bool ListAndWatch::must_list_anew(const CallDone& done) {
+  return done.status == response_status::kHistoryGone || done.reply_too_large;
+}
+
 void ListAndWatch::on_watch_returned(double sent_at, const CallDone& done) {
   watching_ = false;
-  if (done.status == response_status::kHistoryGone) {
+  if (must_list_anew(done)) {
+    if (done.reply_too_large)
+      context_.info("watch_reply_too_large revision=" + std::to_string(state_cache_.revision()));
+    connectivity_.on_success(sent_at);
+    context_.counters["lists_anew"]++;
     synced_ = false;
     return;
   }
--- a/src/coordination/state/list_and_watch.h
+++ b/src/coordination/state/list_and_watch.h
@@ -1,7 +1,8 @@
 // List-and-watch: keeps the StateCache in sync with the state store.
 //
 // Lists all keys page by page, then watches changes from the listed revision on. If the state store
-// no longer retains the needed changes, all keys are listed again. Invariant: once `synced()`
+// no longer retains the needed changes, or they are more than can be read at once, all keys are
+// listed again. Invariant: once `synced()`
 // returns true, the cache holds all changes up to its revision. StateStoreClient calls `tick`.
 #pragma once
 #include <cstdint>
@@ -62,6 +63,7 @@
   void on_page_listed(const ListKeysReply& page);
   void watch_between_pages();
   void pause_list(double sent_at, int status);
+  static bool must_list_anew(const CallDone& done);
   void delete_unlisted_leased_keys();
   void finish_list();
   void watch();
--- a/src/transport/controller_server.cpp
+++ b/src/transport/controller_server.cpp
@@ -186,7 +186,12 @@
   const auto* read = std::get_if<ReadKey>(&c.body);
   auto done = [this, id = c.id, kind, key = read ? read->key : std::string()](int status,
                                                                               std::string&& body) {
-    commands_.push_back(protocol::decode_reply(id, kind, key, status, body));
+    constexpr bool kReplyTooLarge = true;
+    if (status == HttpClient::kReplyTooLarge) {
+      commands_.push_back(CallDone{id, 0, {}, kReplyTooLarge});
+    } else {
+      commands_.push_back(protocol::decode_reply(id, kind, key, status, body));
+    }
   };
   Address to;
   try {
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -115,7 +115,7 @@
     case ReceiveResult::closed:
       if (connection.busy && !connection.parser.idle() && connection.parser.finish(on_message) &&
           complete) {
-        finish(connection, answer.too_large ? 0 : answer.status, std::move(answer.body), false);
+        finish(connection, std::move(answer), false);
       } else {
         fail(fd);
       }
@@ -126,11 +126,11 @@
   if (!ok || (complete && !connection.busy)) {
     fail(fd);
   } else if (complete) {
-    finish(connection, answer.too_large ? 0 : answer.status, std::move(answer.body), keep);
+    finish(connection, std::move(answer), keep);
   }
 }
 
-void HttpClient::finish(Connection& connection, int status, std::string&& body, bool keep) {
+void HttpClient::finish(Connection& connection, HttpMessage&& answer, bool keep) {
   Done done = std::move(connection.done);
   connection.done = nullptr;
   connection.busy = false;
@@ -142,7 +142,7 @@
   } else {
     close_connection(connection.fd);
   }
-  done(status, std::move(body));
+  done(answer.too_large ? kReplyTooLarge : answer.status, std::move(answer.body));
 }
 
 void HttpClient::flush(Connection& connection) {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -17,6 +17,8 @@
 
 class HttpClient {
  public:
+  /// Status of an answer whose body exceeds the limit and was dropped.
+  static constexpr int kReplyTooLarge = -1;
   /// Status 0: no complete and valid answer was received, so the outcome is unknown.
   using Done = std::function<void(int status, std::string&& body)>;
   HttpClient(EventLoop& event_loop, size_t max_connections, size_t body_limit)
@@ -46,7 +48,7 @@
   void flush(Connection& connection);
   void fail(int fd);
   void close_connection(int fd);
-  void finish(Connection& connection, int status, std::string&& body, bool keep);
+  void finish(Connection& connection, HttpMessage&& answer, bool keep);
 
   EventLoop& event_loop_;
   size_t max_connections_;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -63,6 +63,27 @@
   }
 }
 
+// The state store refused one controller while large arrays ran. The changes that it missed were
+// more than it reads in one reply, and it answered no question until the next restart.
+TEST(Core, AControllerThatMissedMoreThanOneReplyMayHoldCatchesUp) {
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    ClusterSimulation::Options options;
+    options.seed = seed;
+    options.largest_reply = 3000;
+    ClusterSimulation sim(options);
+    for (int i = 0; i < 8; ++i)
+      sim.submit(spec("job-" + std::to_string(i), store::JobKind::array, 60, 0.5, 8), 5);
+    sim.run_until(25);
+    const int refused = static_cast<int>(seed % 3);
+    sim.refuse_state(refused, 24);
+    sim.run_until(110);
+    EXPECT_GT(sim.stats_of(refused)["counters"].value("lists_anew", 0), 0) << "seed " << seed;
+    const auto revision_of = [&sim](int node) { return sim.stats_of(node)["revision"]; };
+    EXPECT_EQ(revision_of(refused), revision_of((refused + 1) % 3)) << "seed " << seed;
+    EXPECT_TRUE(sim.violations.empty()) << first_violation(sim);
+  }
+}
+
 // One user's submission with a Latin-1 image name ended every controller that took it, and the
 // user's retries carried it to all of them.
 TEST(Core, ASubmissionWithTextThatIsNotUtf8IsRefusedAndEndsNoController) {
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -158,6 +158,27 @@
   for (const auto& worker : workers) close(worker.fd);
 }
 
+// A reply that was too large counted as no reply, so its caller asked for the same again.
+TEST(Http, AReplyThatIsTooLargeIsToldFromNone) {
+  EventLoop event_loop;
+  const Address at = parse_address("127.0.0.1:" + std::to_string(free_port()));
+  constexpr size_t kLargestReply = 1024;
+  HttpServer* self = nullptr;
+  HttpServer server(event_loop, at, {4, 1024, 60}, [&](ExchangeId id, HttpMessage&&) {
+    self->answer(id, 200, std::string(kLargestReply + 1, 'x'), "text/plain");
+  });
+  self = &server;
+  HttpClient client(event_loop, 8, kLargestReply);
+  int status = 0;
+  client.request(at, "GET", "/", "", "", 5, [&](int s, std::string&& body) {
+    status = s;
+    EXPECT_TRUE(body.empty());
+    event_loop.stop();
+  });
+  event_loop.run();
+  EXPECT_EQ(status, HttpClient::kReplyTooLarge);
+}
+
 TEST(Http, ARefusedConnectionHasNoStatus) {
   EventLoop event_loop;
   HttpClient client(event_loop, 8, 1024);
--- a/tests/list_and_watch_test.cpp
+++ b/tests/list_and_watch_test.cpp
@@ -1,8 +1,10 @@
 // Tests how a controller lists all keys of the state store while they change, and watches the
 // changes.
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <deque>
+#include <limits>
 
 #include "coordination/state/state_store_client.h"
 #include "simulation/fake_state_store.h"
@@ -37,6 +39,8 @@
         if (auto* call = std::get_if<Call>(&effect)) answer(*call, before_page);
     }
   }
+  /// Watch replies with more changes than this are dropped.
+  void set_largest_reply(size_t changes) { largest_reply_ = changes; }
   const StateStoreClient& state_store() const { return state_store_; }
   const store::StateCache& state_cache() const { return state_cache_; }
   size_t pages() const { return pages_; }
@@ -79,7 +83,11 @@
     const auto changes = service_.changes_since(watch.since);
     if (changes && changes->events.empty() && watch.hold_s > 0) return;
     CallDone done{watch_->id, changes ? 200 : 410, {}};
-    if (changes) done.reply = *changes;
+    if (changes && changes->events.size() > largest_reply_) {
+      done = CallDone{watch_->id, 0, {}, true};
+    } else if (changes) {
+      done.reply = *changes;
+    }
     watch_.reset();
     context_.on_call_done(std::move(done));
   }
@@ -91,6 +99,7 @@
   store::StateCache state_cache_;
   StateStoreClient state_store_{context_, state_cache_};
   size_t pages_ = 0;
+  size_t largest_reply_ = std::numeric_limits<size_t>::max();
 };
 
 store::Json machine_value(int number) {
@@ -109,11 +118,11 @@
 constexpr int kMachines = 4000;
 constexpr size_t kChangesKept = 10000;  // as the protocol sets it
 
-FakeStateStore service_with_machines() {
+FakeStateStore service_with_machines(int machines = kMachines) {
   FakeStateStore service;
   service.set_history(kChangesKept);
   service.set_page(200);
-  for (int i = 0; i < kMachines; ++i) service.preset(machine_name(i), machine_value(i));
+  for (int i = 0; i < machines; ++i) service.preset(machine_name(i), machine_value(i));
   return service;
 }
 
@@ -151,6 +160,46 @@
   EXPECT_LE(client.pages(), 26u);
 }
 
+// A controller that was refused for a while missed more changes than it reads in one reply. It
+// dropped the reply and watched from the same revision for ever, with a reply that only grew.
+TEST(ListAndWatch, MoreChangesThanOneReplyMayHoldAreListed) {
+  FakeStateStore service = service_with_machines();
+  ListingClient client(service);
+  constexpr size_t kLargestReply = 100;
+  client.set_largest_reply(kLargestReply);
+  const auto always_answer = [] { return true; };
+  client.run(5, always_answer);
+  ASSERT_TRUE(client.state_store().synced());
+  for (size_t i = 0; i <= kLargestReply; ++i)
+    service.preset(machine_name(static_cast<int>(i)), machine_value(1));
+  client.run(10, always_answer);
+  EXPECT_TRUE(client.state_store().synced());
+  EXPECT_EQ(client.state_cache().revision(), service.revision());
+}
+
+// The same with drawn numbers of changes before, during and after the list.
+RC_GTEST_PROP(ListAndWatch, HoweverManyChangesAReplyMayHoldAllAreRead, ()) {
+  constexpr int kFewMachines = 300;
+  FakeStateStore service = service_with_machines(kFewMachines);
+  ListingClient client(service);
+  client.set_largest_reply(*rc::gen::inRange<size_t>(1, 300));
+  const auto changes_per_page = *rc::gen::inRange(0, 3);
+  const auto bursts = *rc::gen::container<std::vector<int>>(5, rc::gen::inRange(0, 600));
+  int changed = 0;
+  const auto change_machines = [&](int count) {
+    for (int i = 0; i < count; ++i, ++changed)
+      service.preset(machine_name(changed % kFewMachines), machine_value(changed + 1));
+    return true;
+  };
+  for (const int burst : bursts) {
+    change_machines(burst);
+    client.run(3, [&] { return change_machines(changes_per_page); });
+  }
+  client.run(10, [] { return true; });
+  RC_ASSERT(client.state_store().synced());
+  RC_ASSERT(client.state_cache().revision() == service.revision());
+}
+
 // The state store deletes keys when their lease expires. If it no longer keeps these changes, the
 // client must remove the keys that are absent from the next list, but not a key that was written
 // after the list had passed its position.
--- a/tests/simulation/cluster_simulation.h
+++ b/tests/simulation/cluster_simulation.h
@@ -52,6 +52,7 @@
     // Peer states from and to these nodes lack the fields that the previous version does not know.
     std::set<int> nodes_without_new_peer_fields;
     double memory_in_use_mb = 0;  // per controller, of 56 MB
+    size_t largest_reply = 0;     // bytes of a watch reply that a controller reads; 0: no limit
     // Sockets of a controller. A fixed share of them limits its own calls in flight.
     int max_connections = 800;
   };
--- a/tests/simulation/generated_faults.cpp
+++ b/tests/simulation/generated_faults.cpp
@@ -18,6 +18,12 @@
 
 namespace {
 
+void cut_from_state_and_peers(ClusterSimulation& sim, int node, const Fault& fault) {
+  sim.cut(node_name(node), "state", fault.for_s, fault.variant);
+  for (int peer = 0; peer < 3; ++peer)
+    if (peer != node) sim.cut(node_name(node), node_name(peer), fault.for_s, fault.variant);
+}
+
 // A controller loses its workers for longer than cancel_s, while jobs are submitted and cancelled:
 // their starts arrive at the end.
 void hold_starts_of_cancelled_jobs(ClusterSimulation& sim, const Fault& fault) {
@@ -84,11 +90,7 @@
              [&sim, fault] { sim.state_outage(fault.variant ? 45 : fault.for_s); });
       break;
     case 24:  // loses the state store and the other controllers, but not workers or users
-      sim.cut("node-" + std::to_string(node), "state", fault.for_s, fault.variant);
-      for (int i = 0; i < 3; ++i)
-        if (i != node)
-          sim.cut("node-" + std::to_string(node), "node-" + std::to_string(i), fault.for_s,
-                  fault.variant);
+      cut_from_state_and_peers(sim, node, fault);
       break;
     case 25:  // repeated changes of the leader
       for (int k = 0; k < 6; ++k)
--- a/tests/simulation/state_store.cpp
+++ b/tests/simulation/state_store.cpp
@@ -5,6 +5,17 @@
 
 namespace rushtrestle::testing {
 
+namespace {
+
+size_t reply_size(const WatchReply& reply) {
+  size_t size = 0;
+  for (const auto& event : reply.events)
+    size += event.key.size() + (event.value ? event.value->dump().size() : 0);
+  return size;
+}
+
+}  // namespace
+
 // Delivers the recorded heartbeats twice when a controller acquires a shard or the leadership:
 // within 0.05 s, about when that controller learns of it, and within 3 s.
 void ClusterSimulation::replay_recorded_heartbeats(const std::string& key) {
@@ -53,8 +64,11 @@
     });
     return;
   }
+  const bool too_large = options_.largest_reply > 0 && reply_size(reply) > options_.largest_reply;
+  CallDone answer =
+      too_large ? CallDone{call.id, 0, {}, true} : CallDone{call.id, 200, std::move(reply)};
   send("state", node_name(node_index),
-       [this, node_index, generation, done = CallDone{call.id, 200, std::move(reply)}]() mutable {
+       [this, node_index, generation, done = std::move(answer)]() mutable {
          if (nodes_[static_cast<size_t>(node_index)].generation == generation)
            deliver(node_index, std::move(done));
        });
