--- a/review/standins-2/cluster.py
+++ b/review/standins-2/cluster.py
@@ -33,15 +33,17 @@
 
 
 def free_addresses(count):
-    """Free loopback addresses, held until all are chosen."""
-    sockets, addresses = [], []
-    for _ in range(count):
-        s = socket.socket()
-        s.bind(("127.0.0.1", 0))
-        sockets.append(s)
-        addresses.append("127.0.0.1:%d" % s.getsockname()[1])
-    for s in sockets:
-        s.close()
+    """Free loopback addresses below the ports that outgoing connections get."""
+    addresses = []
+    while len(addresses) < count:
+        address = "127.0.0.1:%d" % random.randrange(10000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", int(address.split(":")[1])))
+            except OSError:
+                continue
+        if address not in addresses:
+            addresses.append(address)
     return addresses
 
 
@@ -245,7 +247,12 @@
         worker = Worker(machine, type_, self.serve_on, self.jobs, self.settings["workers"],
                         self.record)
         self.workers[machine["id"]] = worker
-        await worker.start(self.worker_addresses.pop())
+        while True:
+            try:
+                await worker.start(self.worker_addresses.pop())
+                break
+            except OSError:
+                continue  # another program has taken the port meanwhile
         self.record("%s is up (%s, %s)" % (worker.name, machine["breed"], machine["yard"]))
 
     def machine_gone(self, name):
@@ -254,6 +261,14 @@
         if worker:
             worker.stop()
 
+    async def machine_dies(self, worker):
+        """The cloud lists it as running for 30 s more, and has no other one in its place."""
+        worker.die()
+        machine = worker.machine
+        self.cloud.capacity[machine["breed"], machine["yard"], machine["loaners"]] -= 1
+        await asyncio.sleep(30)
+        machine["status"] = "failed"
+
     def machine_of(self, job, task=0):
         for machine in self.jobs.on.get((job, task), ()):
             return self.workers[machine]
--- a/review/standins-2/workers.py
+++ b/review/standins-2/workers.py
@@ -75,27 +75,36 @@
         self.session, self.sequence, self.token = 1, 0, 0
         self.tasks = {}             # (job, task, attempt) -> dict
         self.images = set()
-        self.alive = True
+        self.alive, self.silent = True, False
         self.names = sorted(controllers)
         self.controller = random.choice(self.names)
         self.change = asyncio.Event()
         self.token_reported_at = 0.0
         self.commands = []          # (body, status) of each direct command
-        self.before_commands = None  # async hook, for delays
+        self.server, self.loops = None, []
 
     async def start(self, address):
-        self.address = self.machine["addr"] = address
         self.server = await serve(self.handle, address)
+        self.address = self.machine["addr"] = address
         self.lease_from = time.monotonic()
         self.machine["status"] = "running"
         self.loops = [asyncio.create_task(self.report_loop()),
                       asyncio.create_task(self.lease_loop())]
 
+    def die(self):
+        """The machine stops with all that is on it, and stays silent."""
+        self.silent = True
+        self.record("%s stops with all that is on it" % self.name)
+        for loop in self.loops:
+            loop.cancel()
+        self.drop_all()
+
     def stop(self):
         self.alive = False
         for loop in self.loops:
             loop.cancel()
-        self.server.close()
+        if self.server:
+            self.server.close()
         self.drop_all()
 
     # ---- reports and leases
@@ -172,10 +181,10 @@
     # ---- direct commands
 
     async def handle(self, method, target, body):
+        if self.silent:
+            return None
         if target == "/inspect":
             return 200, self.report()
-        if self.before_commands:
-            await self.before_commands(body)
         return self.carry_out(body)
 
     def carry_out(self, body):
