--- a/review/standins-2/cluster.py
+++ b/review/standins-2/cluster.py
@@ -1,6 +1,7 @@
 """A small deployment on loopback addresses: real controllers, started with the command of the
 deploy file, and the stand-ins around them."""
 import asyncio
+import ctypes
 import os
 import pathlib
 import random
@@ -17,6 +18,8 @@
 from wire import decode, encode, exchange
 from workers import Jobs, Worker
 
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
 FOUNDRY = {"sku": "foundry-32", "cores": 32.0, "cards": 0.0, "memoryGb": 128.0, "localGb": 60.0,
@@ -47,6 +50,11 @@
     return addresses
 
 
+def end_with_parent():
+    """A controller ends with the test, also if the test is killed."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class CannotRun(Exception):
     pass
 
@@ -163,7 +171,7 @@
         command = shlex.split(deploy["run"]) + [str(self.write_settings(name))]
         log = open(self.folder / (name + ".log"), "a")
         self.processes[name] = await asyncio.create_subprocess_exec(
-            *command, cwd=ROOT, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+            *command, cwd=ROOT, preexec_fn=end_with_parent, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
             env=dict(os.environ, LOG_LEVEL=os.environ.get("REVIEW_LOG", "error")))
         log.close()
         self.record("%s started" % name)
@@ -340,10 +348,14 @@
         cluster = Cluster(folder, **(options(trouble) if callable(options) else options))
         cluster.record("trouble: %s" % ("yes" if trouble else "no"))
         try:
+            this = asyncio.current_task()
+            for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+                asyncio.get_running_loop().add_signal_handler(number, this.cancel)
             async with asyncio.timeout(limit_s):
                 await cluster.start()
                 broken = await play(cluster, trouble)
-        except (CannotRun, asyncio.TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # Whatever isn't a result of the case.
             cluster.record("could not run: %r" % error)
             print("could not run: %r" % error)
             return 2
