Send forget only under a fencing token above those of all starts

The fence counted only a start without an answer as one that may still arrive, so forget went out under the token of the start, and the worker, which then knew neither the attempt nor a higher token, accepted the repeat. The same ran a task on its first machine while it ran on another.

forget is now sent only under a token above those of all starts sent to the worker. No write is needed for that: the state store's revision up to which the state cache shows this controller as the machine's leader is a valid token, since a later leader's is the revision of a later write. The machine's record is rewritten only if the state store was idle since the start. Held starts are fenced in the same way, also in an outage.

New in /stats: fencing_tokens_raised.

--- a/src/coordination/shard/command_dispatcher.cpp
+++ b/src/coordination/shard/command_dispatcher.cpp
@@ -54,10 +54,9 @@
   const auto* durable = state_cache_.machine(machine.id);
   if (!durable || machine.address.empty() || durable->record.terminating()) return;
   WorkerCommands reconciled = reconciler_.reconcile(machine);
-  // A worker that has not seen the current fencing token still accepts commands of a former shard
-  // leader.
+  // A worker that has not seen a token of this shard leader still accepts commands of a former one.
   const bool token_not_seen =
-      machine.heartbeat_received && machine.highest_token_seen < state_.fencing_token(machine);
+      machine.heartbeat_received && machine.highest_token_seen < state_.leadership_token(machine);
   if (reconciled.commands.empty() && !machine.dispatch_wanted && !token_not_seen) return;
   send_commands(machine, std::move(reconciled));
 }
@@ -67,7 +66,7 @@
   machine.command_in_flight = true;
   context_.counters["direct_commands"]++;
   const SentCommands sent{machine.id, state_.fencing_token(machine), reconciled.has_start};
-  if (sent.has_start) StartFence::on_start_sent(machine);
+  if (sent.has_start) start_fence_.on_start_sent(machine);
   const bool silent = machine.commands_failing_since > 0;
   ++commands_in_flight_;
   if (silent) ++silent_commands_in_flight_;
--- a/src/coordination/shard/shard_machine.h
+++ b/src/coordination/shard/shard_machine.h
@@ -63,6 +63,14 @@
   /// Fencing token of a start command that was not answered: the worker may carry it out minutes
   /// later, as long as it has seen no token above this one. 0: none.
   uint64_t unacknowledged_start = 0;
+  /// Fencing token of the last start command that this controller sent; 0: none. Earlier ones had
+  /// no higher token.
+  uint64_t last_start_token = 0;
+  /// Fencing token that the StartFence has chosen; 0: none. ShardState::fencing_token uses the
+  /// higher of this one and that of the records.
+  uint64_t raised_token = 0;
+  /// Since when an ended task can't be forgotten for want of a higher fencing token; 0: none waits.
+  double forget_blocked_since = 0;
 
   // Writes of the machine's record.
   bool marking_for_deletion = false;
--- a/src/coordination/shard/shard_state.cpp
+++ b/src/coordination/shard/shard_state.cpp
@@ -26,11 +26,15 @@
   return it == tasks_by_machine_.end() ? TasksOnMachine{} : it->second;
 }
 
-uint64_t ShardState::fencing_token(const ShardMachine& machine) const {
+uint64_t ShardState::leadership_token(const ShardMachine& machine) const {
   return std::max(membership_.shard_fencing_token(machine.shard),
                   state_cache_.mod_revision_of(store::machine_key(machine.id)));
 }
 
+uint64_t ShardState::fencing_token(const ShardMachine& machine) const {
+  return std::max(leadership_token(machine), machine.raised_token);
+}
+
 bool ShardState::preemptible(const JobRecord& record) const {
   const auto& ranks = context_.operators.preemptible;
   return std::find(ranks.begin(), ranks.end(), record.spec.rank) != ranks.end();
--- a/src/coordination/shard/shard_state.h
+++ b/src/coordination/shard/shard_state.h
@@ -56,8 +56,11 @@
   /// Returns the tasks of the jobs held here on a machine, which may be of any shard.
   TasksOnMachine tasks_on(const std::string& machine) const;
 
-  /// Returns the fencing token for commands to the machine: the higher of the mod revisions of its
-  /// shard's key and of its own record.
+  /// Returns the higher of the mod revisions of the machine's shard key and of its own record: the
+  /// first fencing token that is above those of all earlier shard leaders.
+  uint64_t leadership_token(const ShardMachine& machine) const;
+  /// Returns the fencing token for commands to the machine: `leadership_token`, or the one to which
+  /// the StartFence has raised it.
   uint64_t fencing_token(const ShardMachine& machine) const;
   /// Whether the worker sent a heartbeat of its own accord within `probe_after_s`.
   bool sends_heartbeats(const ShardMachine& machine) const {
--- a/src/coordination/shard/start_fence.cpp
+++ b/src/coordination/shard/start_fence.cpp
@@ -19,7 +19,10 @@
 
 }  // namespace
 
-void StartFence::on_start_sent(ShardMachine& machine) { machine.start_in_flight = true; }
+void StartFence::on_start_sent(ShardMachine& machine) const {
+  machine.start_in_flight = true;
+  machine.last_start_token = state_.fencing_token(machine);
+}
 
 void StartFence::on_start_answered(ShardMachine& machine) { machine.start_in_flight = false; }
 
@@ -33,27 +36,59 @@
 
 // An unanswered start can no longer arrive in a newer agent epoch, as the worker drops late
 // commands of the old epoch and the tasks that ran in it are gone. Nor can it arrive once the
-// worker has seen a higher fencing token than that of the start. Any write of the machine's record
-// yields such a token, and the answer to any heartbeat, a forwarded one included, brings it to the
-// worker. The write waits for a heartbeat, as a machine that is gone needs none. While it waited
-// for an answer to a later command instead, a start that the network held back ran a cancelled
-// task: the worker's heartbeats came through other controllers, and no command reached it.
+// worker has seen a higher fencing token than that of the start. The answer to any heartbeat, a
+// forwarded one included, brings such a token to the worker. The token is raised at a heartbeat, as
+// a machine that is gone needs none. While that waited for an answer to a later command instead, a
+// start that the network held back ran a cancelled task: the worker's heartbeats came through other
+// controllers, and no command reached it.
 void StartFence::on_heartbeat(ShardMachine& machine, const Heartbeat& heartbeat) {
   if (heartbeat.agent_epoch > machine.agent_epoch ||
       heartbeat.fencing_token > machine.unacknowledged_start)
     machine.unacknowledged_start = 0;
-  if (machine.unacknowledged_start == 0 || machine.record_write_queued) return;
-  const bool higher_token_exists = state_.fencing_token(machine) > machine.unacknowledged_start;
-  if (higher_token_exists) return;
+  if (machine.unacknowledged_start == 0) return;
+  if (!raise_token_above(machine, machine.unacknowledged_start))
+    raise_token_by_write(machine, machine.unacknowledged_start);
+}
+
+// Returns whether the machine's fencing token is above `token` now. The state cache has all changes
+// up to its revision, and in them this controller leads the machine's shard: a later leader's token
+// is above that revision.
+bool StartFence::raise_token_above(ShardMachine& machine, uint64_t token) {
+  if (state_.fencing_token(machine) > token) return true;
+  const bool leading = membership_.shard_fencing_token(machine.shard) != 0;
+  if (!leading || state_cache_.revision() <= token) return false;
+  machine.raised_token = state_cache_.revision();
+  context_.counters["fencing_tokens_raised"]++;
+  return true;
+}
+
+void StartFence::raise_token_by_write(const ShardMachine& machine, uint64_t above) {
+  if (machine.record_write_queued) return;
   context_.counters["start_fences"]++;
-  machine_writer_.enqueue(machine.id, WriteCause::other, [](MachineRecord&) { return true; });
+  machine_writer_.enqueue(machine.id, WriteCause::other,
+                          [this, id = machine.id, above](MachineRecord&) {
+                            return !raise_token_above(*state_.find_machine(id), above);
+                          });
+}
+
+// The revision of the state store is above the token of each start whose end is durable, once the
+// state cache has reached that end. Only an attempt that no record names can be blocked for longer,
+// on a store that nobody writes to.
+bool StartFence::may_forget(ShardMachine& machine) {
+  if (raise_token_above(machine, machine.last_start_token)) {
+    machine.forget_blocked_since = 0;
+    return true;
+  }
+  if (machine.forget_blocked_since == 0) machine.forget_blocked_since = context_.now;
+  if (context_.now - machine.forget_blocked_since >= context_.settings.heartbeat_interval_s)
+    raise_token_by_write(machine, machine.last_start_token);
+  return false;
 }
 
-// A worker that has not seen the current fencing token still accepts commands of a former shard
-// leader.
+// A worker that has not seen a token of this shard leader still accepts commands of a former one.
 bool StartFence::start_may_arrive(const ShardMachine& machine) const {
   return machine.start_in_flight || machine.unacknowledged_start != 0 ||
-         machine.highest_token_seen < state_.fencing_token(machine);
+         machine.highest_token_seen < state_.leadership_token(machine);
 }
 
 // Only starts of this controller count. The token of this controller's answer fences those of
--- a/src/coordination/shard/start_fence.h
+++ b/src/coordination/shard/start_fence.h
@@ -1,4 +1,4 @@
-// Keeps a start command that was sent earlier from being carried out after its job was cancelled.
+// Keeps a start command that was sent earlier from running a task that must not run any more.
 //
 // A worker carries out a pushed command as long as it has seen no higher fencing token and is in
 // the same agent epoch, however late the command arrives. So a start that was not answered may run
@@ -22,15 +22,15 @@
 class StartFence {
  public:
   StartFence(Context& context, const store::StateCache& state_cache, const Membership& membership,
-             const ShardState& state, MachineRecordWriter& machine_writer)
+             ShardState& state, MachineRecordWriter& machine_writer)
       : context_(context),
         state_cache_(state_cache),
         membership_(membership),
         state_(state),
         machine_writer_(machine_writer) {}
 
-  /// Notes that a call with a start command is sent to the machine.
-  static void on_start_sent(ShardMachine& machine);
+  /// Notes that a call with a start command is sent to the machine, under the present token.
+  void on_start_sent(ShardMachine& machine) const;
   /// Notes that the call was answered, so that its commands were carried out or refused.
   static void on_start_answered(ShardMachine& machine);
   /// Notes that the call with the start, sent under this token, was not answered.
@@ -42,6 +42,9 @@
   /// Whether the worker may still carry out a start that this controller or an earlier shard leader
   /// sent.
   bool start_may_arrive(const ShardMachine& machine) const;
+  /// Whether the worker may be told, under the present fencing token, to forget ended tasks. Raises
+  /// the token if necessary and possible; else a later call returns true.
+  bool may_forget(ShardMachine& machine);
   /// Whether the answer to this heartbeat of a machine whose shard is led here may renew the
   /// worker's lease.
   bool may_renew(const ShardMachine& machine, const Heartbeat& heartbeat) const;
@@ -50,11 +53,13 @@
 
  private:
   bool too_late_to_start(const std::string& job) const;
+  bool raise_token_above(ShardMachine& machine, uint64_t token);
+  void raise_token_by_write(const ShardMachine& machine, uint64_t above);
 
   Context& context_;
   const store::StateCache& state_cache_;
   const Membership& membership_;
-  const ShardState& state_;
+  ShardState& state_;
   MachineRecordWriter& machine_writer_;
 };
 
--- a/src/coordination/shard/task_reconciler.cpp
+++ b/src/coordination/shard/task_reconciler.cpp
@@ -84,8 +84,8 @@
 // Handles a reported task that is not, or no longer, placed on the machine. While the durable
 // record still places the task there, it gets no command, unless it has not ended and its job is
 // cancelled.
-void TaskReconciler::stop_unexpected_task(const ShardMachine& machine, const ReportedTask& reported,
-                                          WorkerCommands& result) const {
+void TaskReconciler::stop_unexpected_task(ShardMachine& machine, const ReportedTask& reported,
+                                          WorkerCommands& result) {
   const bool ended = reported.state == TaskState::exited;
   const auto* durable = state_cache_.job(reported.job);
   const auto* placement = durable ? durable->record.placement_of(reported.task) : nullptr;
@@ -95,8 +95,9 @@
   if (durably_placed && !runs_though_cancelled) return;
   if (!ended) {
     result.commands.push_back(command_for(WorkerVerb::stop, reported));
-  } else if (!start_fence_.start_may_arrive(machine)) {
-    // If the worker forgot the task earlier, a late start of this attempt would run it again.
+  } else if (start_fence_.may_forget(machine)) {
+    // A worker that forgot the task under the token of its start carried out a repeat of the start,
+    // a minute later, when the job was cancelled.
     result.commands.push_back(command_for(WorkerVerb::forget, reported));
   }
 }
--- a/src/coordination/shard/task_reconciler.h
+++ b/src/coordination/shard/task_reconciler.h
@@ -3,8 +3,8 @@
 //
 // Invariant: a task is started only if its placement is durable and its job is open. A task that
 // should not run counts as gone only when its absence is proven (start_missing_tasks). A worker is
-// told to forget an ended task only when no start of that task can still arrive
-// (stop_unexpected_task).
+// told to forget an ended task only under a fencing token that keeps out all earlier starts
+// (StartFence::may_forget).
 #pragma once
 #include <set>
 #include <vector>
@@ -25,8 +25,7 @@
  public:
   TaskReconciler(Context& context, store::StateCache& state_cache,
                  const StateStoreClient& state_store, ShardState& state,
-                 JobRecordWriter& job_writer, FailureTracker& failures,
-                 const StartFence& start_fence)
+                 JobRecordWriter& job_writer, FailureTracker& failures, StartFence& start_fence)
       : context_(context),
         state_cache_(state_cache),
         state_store_(state_store),
@@ -41,8 +40,8 @@
 
  private:
   void update_task(ShardJob& job, const ReportedTask& reported, WorkerCommands& result);
-  void stop_unexpected_task(const ShardMachine& machine, const ReportedTask& reported,
-                            WorkerCommands& result) const;
+  void stop_unexpected_task(ShardMachine& machine, const ReportedTask& reported,
+                            WorkerCommands& result);
   void start_missing_tasks(ShardMachine& machine, const std::set<TaskKey>& present,
                            WorkerCommands& result);
   void unbind_gone_tasks(const std::vector<TaskKey>& gone);
@@ -56,7 +55,7 @@
   ShardState& state_;
   JobRecordWriter& job_writer_;
   FailureTracker& failures_;
-  const StartFence& start_fence_;
+  StartFence& start_fence_;
 };
 
 }  // namespace rushtrestle::coordination
--- a/tests/simulation/cluster_simulation.h
+++ b/tests/simulation/cluster_simulation.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "coordination/core.h"
@@ -151,6 +152,13 @@
   void report_invalid_tasks(const std::string& job, int node);
   /// This share of transactions gets no answer. They are applied at once, or 2 to 12 s later.
   void lose_transaction_answers(double for_s, double share, bool at_once);
+  /// A copy of this share of the controllers' requests arrives again, unchanged, after a delay
+  /// drawn from the range: commands to workers, transactions, leases, rentals, deletions and
+  /// messages to other controllers. Nobody gets the answers to the copies.
+  struct DelayRange {
+    double min_s, max_s;
+  };
+  void repeat_requests(double for_s, double share, DelayRange delay);
   /// The machine's heartbeats are lost; direct commands reach it and are answered.
   void block_heartbeats(size_t machine_index, double for_s);
   /// Users cancel up to `count` running jobs at once. If `hang_s` is positive, one machine of each
@@ -168,6 +176,8 @@
   size_t task_starts() const { return task_starts_; }
   /// Returns the number of task starts of jobs whose cancellation had been confirmed.
   size_t starts_after_cancellation() const { return starts_after_cancellation_; }
+  /// Returns the number of ended tasks that workers still report.
+  size_t ended_tasks_reported() const;
   /// Returns the number of running tasks of the job.
   size_t running(const std::string& job) const;
   /// Returns the status in the last answer to a query: open, done or cancelled.
@@ -261,6 +271,8 @@
     double next_report = 0, last_sent = 0;  // times of heartbeats
     uint64_t report_serial = 0;             // of the last heartbeat; older answers are ignored
     std::set<std::string> images;           // fetched images
+    // Attempts that ran and were forgotten in this agent epoch: job, task number, attempt.
+    std::set<std::tuple<std::string, uint32_t, uint64_t>> forgotten;
   };
   struct Job {
     store::JobSpec spec;
@@ -295,6 +307,8 @@
   /// Delivers to a controller unless it has ended or restarted since.
   void deliver_to(int node_index, int generation, CallDone&& done);
   void dispatch_call(int node_index, int generation, Call&& call);
+  void repeat_later(int node_index, const Call& call);
+  void route_call(int node_index, int generation, const Call& call, const AnswerCallback& answer);
   void call_worker(int node_index, const Call& call, const AnswerCallback& answer_back);
   void call_peer(int node_index, int generation, const Call& call);
   void call_state_store(int node_index, const Call& call, const AnswerCallback& answer_back);
@@ -389,6 +403,8 @@
   // to 1.
   double unanswered_until_ = 0, unanswered_share_ = 0;
   bool unanswered_at_once_ = false;
+  double repeats_until_ = 0, repeated_share_ = 0;  // repeated requests: end as a time, and share
+  DelayRange repeat_delay_{};
   double cancel_at_completion_until_ = 0, cancel_at_completion_share_ = 0, extra_queries_until_ = 0;
   // Requests in flight, by request id: from users, workers and other controllers.
   struct Waiting {
--- a/tests/simulation/fault_injection.cpp
+++ b/tests/simulation/fault_injection.cpp
@@ -131,6 +131,14 @@
   duplicate_delay_s_ = delay_s;
 }
 
+size_t ClusterSimulation::ended_tasks_reported() const {
+  size_t ended = 0;
+  for (const auto& [id, worker] : workers_)
+    for (const auto& [key, task] : worker.tasks)
+      if (task.reported.state == TaskState::exited) ++ended;
+  return ended;
+}
+
 size_t ClusterSimulation::machines_up() const {
   return static_cast<size_t>(
       std::count_if(workers_.begin(), workers_.end(),
