Test: where no higher token can be had, a lease is withheld for a held start

Tokens are raised without a write now, so no deterministic test reached the answer that withholds a renewal any more. This one does: machines' records are rewritten last, so the held starts carry the newest revision, and the state store is refused to the leader and then out.

--- a/tests/cancelled_start_test.cpp
+++ b/tests/cancelled_start_test.cpp
@@ -111,6 +111,36 @@
   EXPECT_GT(unanswered, 0u) << "no start was in flight when the state store failed";
 }
 
+// An operator rewrites the machines' records, so the starts that the network holds carry the newest
+// revision as their token; then the state store refuses the shard leader, and fails for all. No
+// higher token can be had, and the workers that a start of a job that was cancelled meanwhile may
+// still reach lose their leases in time instead.
+TEST(CancelledStarts, WithoutAHigherTokenALeaseIsNotRenewedPastTheLimitOfAHeldStart) {
+  constexpr double kRewrittenAfterS = 1;
+  constexpr double kCancelledAfterS = 9;
+  uint64_t withheld = 0;
+  for (uint64_t seed = 1; seed <= 8; ++seed) {
+    HeldStarts scenario(seed, store::JobKind::service, kCancelS + 20, kCancelledAfterS);
+    ClusterSimulation& sim = scenario.sim;
+    sim.run_until(kCutAt + kRewrittenAfterS);
+    for (int machine = 1; machine <= 9; ++machine) {
+      const std::string key = "machine/n-00000" + std::to_string(machine);
+      if (const Json* record = sim.stored_value(key)) sim.write_key(key, *record);
+    }
+    sim.run_until(kCutAt + kCancelledAfterS - 0.2);
+    sim.refuse_state(kShardLeader, 100);
+    sim.run_until(kCutAt + kCancelledAfterS + 1);
+    sim.state_outage(80);
+    sim.run_until(kCutAt + kCancelledAfterS + kCancelS + 8);
+    withheld += sum_of_counter(sim, "renewals_withheld");
+    EXPECT_TRUE(sim.violations.empty()) << sim.violations.front() << ", seed " << seed;
+    sim.run_until(260);
+    EXPECT_TRUE(sim.violations.empty()) << sim.violations.front() << ", seed " << seed;
+    expect_services_run(sim);
+  }
+  EXPECT_GT(withheld, 0u) << "every start was fenced";
+}
+
 /// What fails after the cancellations, while the starts are held.
 enum class SecondFault {
   none,
