Check the structure of a CBOR body before a recursive parser sees it

The JSON library's parser calls itself for each chunk that is a string in chunks again, and reports the string only when it is complete, below the limit of nesting that the tree builder keeps.

is_plain_cbor walks the heads of all items iteratively and refuses what is no well-formed item of the protocol: nested chunks, byte strings, tags, nesting beyond 16 levels, lengths and counts beyond the body. The tree builder moves to checked_parser.h, which peers' JSON goes through, too. On related paths: operators' settings that nest deep or are long ended the program with the same fault (shown with 1,000,000 parentheses or elements on the sources before; now one line and status 2), and numbers in a stored record that bound loops or select enumerators are checked.

--- a/src/protocol/cbor.h
+++ b/src/protocol/cbor.h
@@ -3,14 +3,12 @@
 #include <optional>
 #include <string>
 
+#include "protocol/checked_parser.h"
 #include "protocol/decode_error.h"
 #include "store/json.h"
 
 namespace rushtrestle::protocol {
 
-/// Which bytes a text in a message may have. CBOR prescribes UTF-8, and JSON text can hold nothing
-/// else.
-enum class TextEncoding { utf8, any };
 /// Parses bytes of any sender. Returns none for a body that is not CBOR, is nested too deep, or
 /// holds byte strings, NaN, infinity or text of another encoding. Never throws.
 std::optional<store::Json> parse_cbor(const std::string& body,
--- a/src/protocol/operator_settings.cpp
+++ b/src/protocol/operator_settings.cpp
@@ -24,6 +24,11 @@
   int line;
 };
 
+// The S-expression parser's tree is freed recursively: along each list, and for each list in
+// another.
+constexpr size_t kMaxFormBytes = size_t{16} * 1024;
+constexpr int kMaxFormDepth = 8;  // settings are flat lists
+
 std::vector<Form> split_forms(const std::string& text) {
   std::vector<Form> forms;
   int line = 1;
@@ -45,6 +50,9 @@
     if (depth == 0 && character != '(' && !std::isspace(static_cast<unsigned char>(character)))
       throw SettingsError("line " + std::to_string(line) + ": expected a setting in parentheses");
     if (character == '(' && !in_string && depth++ == 0) start_line = line;
+    if (depth > kMaxFormDepth || current.size() == kMaxFormBytes)
+      throw SettingsError("line " + std::to_string(start_line) +
+                          ": setting nested too deep or too long");
     if (depth > 0) current += character == '\n' ? ' ' : character;
     if (character == ')' && !in_string && depth > 0 && --depth == 0) {
       forms.push_back({std::move(current), start_line});
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "protocol/checked_parser.h"
 #include "protocol/codec.h"
 #include "protocol/fields.h"
 
@@ -236,9 +237,10 @@
 template <class Read>
 auto decode_json(const std::string& body, Read&& read) {
   return catch_decode_errors([&] {
-    const Json json = Json::parse(body, nullptr, false);
-    if (json.is_discarded()) fail("", "not JSON");
-    return read(json);
+    // The lexer of JSON text checks the encoding.
+    const auto json = parse_checked(body, Json::input_format_t::json, TextEncoding::any);
+    if (!json) fail("", "not JSON, or nested too deep");
+    return read(*json);
   });
 }
 
--- a/src/protocol/user_codec.cpp
+++ b/src/protocol/user_codec.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr uint32_t kMaxTasks = 100000;
 constexpr size_t kMaxTypes = 64;
 
 constexpr int kOk = 200;
@@ -45,7 +44,7 @@
 
 uint32_t task_count(const Fields& fields) {
   const uint64_t tasks = fields.count("chores");
-  if (tasks == 0 || tasks > kMaxTasks) fail("chores", "none or too many");
+  if (tasks == 0 || tasks > store::kMaxTasks) fail("chores", "none or too many");
   return static_cast<uint32_t>(tasks);
 }
 
--- a/src/store/domain.h
+++ b/src/store/domain.h
@@ -30,6 +30,9 @@
   }
 };
 
+/// Maximum number of tasks of a job, by the protocol.
+inline constexpr uint32_t kMaxTasks = 100000;
+
 /// Array: independent tasks. Service: replicas that run until cancelled. Gang: tasks that run
 /// together or not at all. Stored as numbers.
 enum class JobKind { array, service, gang };
--- a/src/store/job_record.cpp
+++ b/src/store/job_record.cpp
@@ -42,6 +42,13 @@
 constexpr int kRunningFlag = 1;
 constexpr int kStoppingFlag = 2;
 
+/// Reads a task's number or a number of tasks. The scheduler's loops are bounded by it.
+uint32_t task_number(const Json& json, uint32_t largest) {
+  const auto number = json.get<uint64_t>();
+  if (number > largest) throw Json::out_of_range::create(kOutOfRange, "too many tasks", &json);
+  return static_cast<uint32_t>(number);
+}
+
 Json to_json(const Placement& placement) {
   const int flags =
       (placement.running ? kRunningFlag : 0) | (placement.stopping ? kStoppingFlag : 0);
@@ -50,8 +57,8 @@
 
 Placement placement_from_json(const Json& json) {
   const int flags = json.at(3).get<int>();
-  return {json.at(0).get<uint32_t>(), json.at(1).get<std::string>(), json.at(2).get<uint64_t>(),
-          (flags & kRunningFlag) != 0, (flags & kStoppingFlag) != 0};
+  return {task_number(json.at(0), kMaxTasks - 1), json.at(1).get<std::string>(),
+          json.at(2).get<uint64_t>(), (flags & kRunningFlag) != 0, (flags & kStoppingFlag) != 0};
 }
 
 }  // namespace
@@ -97,9 +104,9 @@
   spec.id = json.at(kId).get<std::string>();
   spec.job_class = json.at(kJobClass).get<std::string>();
   spec.team = json.at(kTeam).get<std::string>();
-  spec.kind = static_cast<JobKind>(get_or(json, kKind, 0));
-  spec.rank = static_cast<Rank>(json.at(kRank).get<int>());
-  spec.tasks = json.at(kTasks).get<uint32_t>();
+  spec.kind = enumerator_from_json(get_or<Json>(json, kKind, 0), JobKind::gang);
+  spec.rank = enumerator_from_json(json.at(kRank), Rank::production);
+  spec.tasks = task_number(json.at(kTasks), kMaxTasks);
   spec.per_task = {json.at(kCpus).get<double>(), get_or(json, kGpus, 0.0),
                    json.at(kMemoryGb).get<double>()};
   if (json.contains(kTypes)) spec.types = json[kTypes].get<std::vector<std::string>>();
@@ -135,7 +142,7 @@
 JobRecord job_record_from_json(const Json& json) {
   JobRecord record;
   record.spec = job_spec_from_json(json.at(kSpec));
-  record.status = static_cast<JobStatus>(json.at(kStatus).get<int>());
+  record.status = enumerator_from_json(json.at(kStatus), JobStatus::done);
   record.submitted = json.at(kWrittenAt).get<double>();
   record.last_start = get_or(json, kLastStart, 0.0);
   record.not_before = get_or(json, kNotBefore, 0.0);
--- a/src/store/machine_record.cpp
+++ b/src/store/machine_record.cpp
@@ -52,7 +52,7 @@
   record.type = json.at(kType).get<std::string>();
   record.zone = json.at(kZone).get<std::string>();
   record.shard = json.at(kShard).get<int>();
-  record.phase = static_cast<MachinePhase>(json.at(kPhase).get<int>());
+  record.phase = enumerator_from_json(json.at(kPhase), MachinePhase::deleted);
   record.since = json.at(kSince).get<double>();
   record.address = get_or<std::string>(json, kAddress, "");
   record.spot = get_or(json, kSpot, false);
--- a/src/store/task_set.cpp
+++ b/src/store/task_set.cpp
@@ -2,6 +2,8 @@
 
 #include <iterator>
 
+#include "store/domain.h"
+
 namespace rushtrestle::store {
 
 bool TaskSet::contains(uint32_t task) const {
@@ -48,6 +50,9 @@
   for (size_t i = 0; i + 1 < json.size(); i += 2) {
     const auto first = json[i].get<uint32_t>();
     const auto last = json[i + 1].get<uint32_t>();
+    const bool ordered = set.runs_.empty() || first > set.runs_.rbegin()->second;
+    if (last < first || last >= kMaxTasks || !ordered)
+      throw Json::out_of_range::create(kOutOfRange, "not runs of tasks", &json);
     set.runs_[first] = last;
     set.size_ += last - first + 1;
   }
--- a/tests/simulation/cluster_simulation.h
+++ b/tests/simulation/cluster_simulation.h
@@ -330,6 +330,9 @@
   void worker_report(const std::string& id);
   Heartbeat snapshot(Worker& worker);
   void execute(Worker& worker, const std::vector<WorkerCommand>& commands);
+  void start_task(Worker& worker, const WorkerCommand& command);
+  void stop_task(Task& task, const WorkerCommand& command);
+  static void forget_task(Worker& worker, const WorkerCommand& command);
   void advance(Worker& worker);
   void end_lease(Worker& worker);
   using TaskKey = std::pair<std::string, uint32_t>;
--- a/tests/simulation/workers.cpp
+++ b/tests/simulation/workers.cpp
@@ -97,72 +97,76 @@
 
 void ClusterSimulation::execute(Worker& worker, const std::vector<WorkerCommand>& commands) {
   for (const auto& command : commands) {
-    const std::pair<std::string, uint32_t> key{command.job, command.task};
-    const auto it = worker.tasks.find(key);
+    const auto it = worker.tasks.find({command.job, command.task});
     if (command.verb == WorkerVerb::start) {
-      if (it != worker.tasks.end()) continue;
-      if (worker.forgotten.count({command.job, command.task, command.attempt}))
-        fail("started again after forget: " + command.job + " on " + worker.id);
-      const auto job = jobs_.find(command.job);
-      Task task;
-      task.reported = {command.job,         command.task,    command.attempt,
-                       TaskState::fetching, ExitCause::none, false};
-      if (job == jobs_.end() || command.task >= job->second.spec.tasks) {
-        fail("start of unknown task " + command.job);
-        continue;
-      }
-      const auto& spec = job->second.spec;
-      const auto type = std::find_if(types_.begin(), types_.end(), [&](const auto& machine_type) {
-        return machine_type.name == worker.type;
-      });
-      store::Resources free = type->size;
-      for (const auto& [other_key, other] : worker.tasks)
-        if (other.reported.state != TaskState::exited)
-          free.add(jobs_.at(other_key.first).spec.per_task, -1);
-      if (!spec.per_task.fits(free)) {
-        task.reported.state = TaskState::exited;
-        task.reported.cause = ExitCause::no_room;
-      } else {
-        task.fetch_until =
-            now_ + (worker.images.count(spec.image) ? 0 : spec.image_gb / type->fetch_gb_per_s);
-        task.remaining = job->second.completed.count(command.task)
-                             ? 0
-                             : spec.estimate_s * options_.run_factor *
-                                   (1 + options_.runtime_increase_per_task * command.task);
-      }
-      worker.tasks[key] = task;
-      machines_of_job_[command.job].insert(worker.id);
+      if (it == worker.tasks.end()) start_task(worker, command);
     } else if (it != worker.tasks.end() && it->second.reported.attempt == command.attempt) {
-      auto& reported = it->second.reported;
-      if (command.verb == WorkerVerb::forget) {
-        if (reported.state != TaskState::exited) continue;
-        // A gang's member that was refused may be placed here again under the same attempt.
-        if (reported.cause != ExitCause::no_room)
-          worker.forgotten.emplace(command.job, command.task, command.attempt);
-        worker.tasks.erase(it);
-      } else if (reported.state != TaskState::exited) {
-        const auto& spec = jobs_.at(command.job).spec;
-        if (spec.kind == store::JobKind::gang && reported.state == TaskState::running &&
-            command.grace_s >= spec.save_s) {
-          auto& job = jobs_.at(command.job);
-          if (job.first_stop_at < 0) job.first_stop_at = now_;
-          if (now_ - job.first_stop_at <= options_.gang_peer_s)
-            job.tasks_asked_to_stop.insert(command.task);
-        }
-        if (reported.state == TaskState::running && spec.checkpoint_s > 0 &&
-            command.grace_s >= spec.save_s) {
-          reported.state = TaskState::saving;
-          it->second.last_step = now_;
-        } else {
-          reported.state = TaskState::exited;
-          reported.cause = ExitCause::stopped;
-        }
-      }
+      const bool exited = it->second.reported.state == TaskState::exited;
+      if (command.verb == WorkerVerb::stop && !exited) stop_task(it->second, command);
+      if (command.verb == WorkerVerb::forget && exited) forget_task(worker, command);
     }
   }
   advance(worker);
 }
 
+void ClusterSimulation::start_task(Worker& worker, const WorkerCommand& command) {
+  if (worker.forgotten.count({command.job, command.task, command.attempt}))
+    fail("started again after forget: " + command.job + " on " + worker.id);
+  const auto job = jobs_.find(command.job);
+  if (job == jobs_.end() || command.task >= job->second.spec.tasks)
+    return fail("start of unknown task " + command.job);
+  const auto& spec = job->second.spec;
+  const auto type = std::find_if(types_.begin(), types_.end(), [&](const auto& machine_type) {
+    return machine_type.name == worker.type;
+  });
+  store::Resources free = type->size;
+  for (const auto& [other_key, other] : worker.tasks)
+    if (other.reported.state != TaskState::exited)
+      free.add(jobs_.at(other_key.first).spec.per_task, -1);
+  Task task;
+  task.reported = {command.job,         command.task,    command.attempt,
+                   TaskState::fetching, ExitCause::none, false};
+  if (!spec.per_task.fits(free)) {
+    task.reported.state = TaskState::exited;
+    task.reported.cause = ExitCause::no_room;
+  } else {
+    task.fetch_until =
+        now_ + (worker.images.count(spec.image) ? 0 : spec.image_gb / type->fetch_gb_per_s);
+    task.remaining = job->second.completed.count(command.task)
+                         ? 0
+                         : spec.estimate_s * options_.run_factor *
+                               (1 + options_.runtime_increase_per_task * command.task);
+  }
+  worker.tasks[{command.job, command.task}] = task;
+  machines_of_job_[command.job].insert(worker.id);
+}
+
+void ClusterSimulation::stop_task(Task& task, const WorkerCommand& command) {
+  Job& job = jobs_.at(command.job);
+  const auto& spec = job.spec;
+  const bool can_save = task.reported.state == TaskState::running && command.grace_s >= spec.save_s;
+  if (spec.kind == store::JobKind::gang && can_save) {
+    if (job.first_stop_at < 0) job.first_stop_at = now_;
+    if (now_ - job.first_stop_at <= options_.gang_peer_s)
+      job.tasks_asked_to_stop.insert(command.task);
+  }
+  if (can_save && spec.checkpoint_s > 0) {
+    task.reported.state = TaskState::saving;
+    task.last_step = now_;
+  } else {
+    task.reported.state = TaskState::exited;
+    task.reported.cause = ExitCause::stopped;
+  }
+}
+
+void ClusterSimulation::forget_task(Worker& worker, const WorkerCommand& command) {
+  const auto it = worker.tasks.find({command.job, command.task});
+  // A gang's member that was refused may be placed here again under the same attempt.
+  if (it->second.reported.cause != ExitCause::no_room)
+    worker.forgotten.emplace(command.job, command.task, command.attempt);
+  worker.tasks.erase(it);
+}
+
 void ClusterSimulation::worker_step(const std::string& id) {
   const auto it = workers_.find(id);
   if (it == workers_.end() || it->second.phase != Worker::Phase::up) return;
