--- a/src/coordination/shard/start_fence.h
+++ b/src/coordination/shard/start_fence.h
@@ -10,6 +10,18 @@
 // either shows in time that it has seen a higher token, or its lease expires by `cancel_s`, which
 // begins another agent epoch. docs/architecture.md (Cancellation) has the whole argument.
 //
+// A start that was answered may arrive again, too: a repeat has no effect while the worker has the
+// attempt, in whatever state, but runs the task once more after `forget`.
+//
+// Invariant: `forget` is sent only under a fencing token above those of all starts that were ever
+// sent to the worker, so a worker that has forgotten an attempt accepts no start of it.
+//
+// Both need a higher token now and then. Any revision of the state store will do up to which the
+// state cache shows this controller as the leader of the machine's shard: the token of a later
+// leader is the mod revision of a later write. So a token is raised without a write, as long as the
+// state store's revision has moved on since the start; on an idle store the machine's record is
+// rewritten.
+//
 // Called by HeartbeatIntake, HeartbeatHandler, TaskReconciler and CommandDispatcher.
 #pragma once
 #include <cstdint>
