Refactor tests: one place for job descriptions, options and the first violation

Change: simulation/scenario.h has `array_job`, `service_job`, `small_job`, `options_with_seed` and `first_violation`; tests keep only what differs from them. No check changes.

--- a/tests/best_effort_test.cpp
+++ b/tests/best_effort_test.cpp
@@ -6,7 +6,7 @@
 
 #include <cstdio>
 
-#include "simulation/cluster_simulation.h"
+#include "simulation/scenario.h"
 
 namespace rushtrestle::testing {
 namespace {
@@ -16,19 +16,13 @@
   return {{"red", {64, 16, 0}, {144, 40, 0}}, {"guest", {}, {store::kNoLimit, store::kNoLimit, 0}}};
 }
 
-store::JobSpec array_spec(const std::string& id, const std::string& team, uint32_t tasks,
-                          double run_s) {
-  store::JobSpec spec;
-  spec.id = id;
-  spec.job_class = "batch";
+store::JobSpec low_array(const std::string& id, const std::string& team, uint32_t tasks,
+                         double run_s) {
+  store::JobSpec spec = array_job(id, tasks, {4, 0, 8}, run_s);
   spec.team = team;
-  spec.kind = store::JobKind::array;
   spec.rank = store::Rank::low;
-  spec.tasks = tasks;
-  spec.per_task = {4, 0, 8};
   spec.image = "image";
   spec.image_gb = 0.5;
-  spec.estimate_s = run_s;
   spec.spot = true;
   return spec;
 }
@@ -37,21 +31,15 @@
   ClusterSimulation::Options options;
   options.teams = red_and_guest();
   ClusterSimulation sim(options);
-  sim.submit(array_spec("job-1", "guest", 40, 10), 2);
+  sim.submit(low_array("job-1", "guest", 40, 10), 2);
   sim.run_until(200);
   EXPECT_TRUE(sim.violations.empty());
   EXPECT_EQ(sim.last_reported_status("job-1").value_or(""), "done");
 }
 
 store::JobSpec gateway_spec(const std::string& id, const std::string& team) {
-  store::JobSpec spec;
-  spec.id = id;
-  spec.job_class = "gateway";
+  store::JobSpec spec = service_job(id, 2, {2, 0, 4});
   spec.team = team;
-  spec.kind = store::JobKind::service;
-  spec.rank = store::Rank::production;
-  spec.tasks = 2;
-  spec.per_task = {2, 0, 4};
   spec.image = "image";
   spec.image_gb = 0.5;
   return spec;
@@ -77,7 +65,7 @@
   options.teams = red_and_guest();
   options.boot_failures = false;
   ClusterSimulation sim(options);
-  sim.submit(array_spec("job-1", "guest", 400, 40), 2);
+  sim.submit(low_array("job-1", "guest", 400, 40), 2);
   sim.run_until(100);
   EXPECT_TRUE(sim.violations.empty());
   EXPECT_GT(sim.running("job-1"), 0U);
@@ -95,7 +83,7 @@
   constexpr int kGateways = 20;
   for (int i = 0; i < kGateways; ++i)
     sim.submit(gateway_spec("job-" + std::to_string(100 + i), "red"), 2 + 10 * i);
-  auto array = array_spec("job-1", "guest", 2000, 100);
+  auto array = low_array("job-1", "guest", 2000, 100);
   array.rank = store::Rank::normal;  // This rank may also use on-demand machines.
   sim.submit(array, 60);
   size_t late = 0;
@@ -116,7 +104,7 @@
   Context context(settings, {}, "incarnation", 1);
   context.wall = 1000;
   store::JobRecord job;
-  job.spec = array_spec("job-1", "guest", 1, 10);
+  job.spec = low_array("job-1", "guest", 1, 10);
   job.submitted = 950;
   EXPECT_TRUE(uses_best_effort_capacity_only(job, context));
   job.submitted = 800;  // A job that has waited long for its first start may run anywhere.
--- a/tests/cancelled_start_test.cpp
+++ b/tests/cancelled_start_test.cpp
@@ -6,6 +6,7 @@
 #include <ostream>
 
 #include "simulation/generated_faults.h"
+#include "simulation/scenario.h"
 
 namespace rushtrestle::testing {
 namespace {
@@ -18,29 +19,12 @@
 constexpr int kServices = 4;
 constexpr int kCancelledJobs = 4;
 
-store::JobSpec small_job(const std::string& id, store::JobKind kind) {
-  store::JobSpec spec;
-  spec.id = id;
-  spec.job_class = "gateway";
-  spec.team = "red";
-  spec.kind = kind;
-  spec.rank = store::Rank::production;
-  spec.tasks = 2;
-  spec.per_task = {1, 0, 1};
-  spec.image = "img";  // on each machine already, so a start runs the task at once
-  spec.image_gb = 1;
-  spec.estimate_s = kind == store::JobKind::service ? 0 : 300;
-  return spec;
-}
-
 std::string service(int number) { return "job-" + std::to_string(number); }
 std::string cancelled_job(int number) { return "job-late" + std::to_string(number); }
 
 ClusterSimulation::Options options_with(uint64_t seed) {
-  ClusterSimulation::Options options;
-  options.seed = seed;
+  ClusterSimulation::Options options = options_with_seed(seed);
   options.consolidate = false;  // consolidation starts tasks, too
-  options.trace = std::getenv("WORLD_TRACE") != nullptr;
   return options;
 }
 
@@ -52,11 +36,11 @@
   HeldStarts(uint64_t seed, store::JobKind kind, double hold_s, double cancel_after_s)
       : sim(options_with(seed)) {
     for (int i = 0; i < kServices; ++i)
-      sim.submit(small_job(service(i), store::JobKind::service), 3);
+      sim.submit(small_job(service(i), store::JobKind::service, 2), 3);
     sim.run_until(kCutAt);
     sim.cut_workers(kShardLeader, hold_s, kHold);
     for (int i = 0; i < kCancelledJobs; ++i) {
-      sim.submit(small_job(cancelled_job(i), kind), kCutAt);
+      sim.submit(small_job(cancelled_job(i), kind, 2), kCutAt);
       sim.cancel(cancelled_job(i), kCutAt + cancel_after_s);
     }
   }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -3,31 +3,22 @@
 
 #include <algorithm>
 
-#include "simulation/cluster_simulation.h"
+#include "simulation/scenario.h"
 
 namespace rushtrestle::testing {
 namespace {
 
 store::JobSpec spec(const std::string& id, store::JobKind kind, uint32_t tasks, double cpus,
                     double seconds) {
-  store::JobSpec s;
-  s.id = id;
-  s.job_class = kind == store::JobKind::array ? "batch" : "gateway";
-  s.team = "red";
-  s.kind = kind;
-  s.rank = kind == store::JobKind::array ? store::Rank::normal : store::Rank::production;
-  s.tasks = tasks;
-  s.per_task = {cpus, 0, 2};
-  s.image = "img";
-  s.image_gb = 1;
-  s.estimate_s = seconds;
-  s.spot = kind == store::JobKind::array;
-  s.spread = kind == store::JobKind::service;
-  return s;
-}
-
-std::string first_violation(const ClusterSimulation& sim) {
-  return sim.violations.empty() ? "" : sim.violations.front();
+  const store::Resources per_task{cpus, 0, 2};
+  const bool array = kind == store::JobKind::array;
+  store::JobSpec spec =
+      array ? array_job(id, tasks, per_task, seconds) : service_job(id, tasks, per_task);
+  spec.kind = kind;
+  spec.estimate_s = seconds;
+  spec.spot = array;
+  spec.spread = kind == store::JobKind::service;
+  return spec;
 }
 
 TEST(Core, AnArrayRunsAServiceStaysAndACancellationEndsIt) {
--- a/tests/failure_attribution_test.cpp
+++ b/tests/failure_attribution_test.cpp
@@ -7,7 +7,7 @@
 #include <cstdio>
 #include <set>
 
-#include "simulation/cluster_simulation.h"
+#include "simulation/scenario.h"
 
 namespace rushtrestle::testing {
 namespace {
@@ -24,18 +24,11 @@
   EXPECT_EQ(classify_machine({known_good_job, new_job, failing_job}), MachineVerdict::faulty);
 }
 
-store::JobSpec array_job(const std::string& id, uint32_t tasks) {
-  store::JobSpec spec;
-  spec.id = id;
-  spec.job_class = "batch";
-  spec.team = "red";
-  spec.kind = store::JobKind::array;
-  spec.rank = store::Rank::normal;
-  spec.tasks = tasks;
-  spec.per_task = {2, 0, 4};
+store::JobSpec short_array(const std::string& id, uint32_t tasks) {
+  constexpr double kRunS = 10;
+  store::JobSpec spec = array_job(id, tasks, {2, 0, 4}, kRunS);
   spec.image = "image";
   spec.image_gb = 0.5;
-  spec.estimate_s = 10;
   return spec;
 }
 
@@ -69,12 +62,12 @@
   constexpr int kFailingJobs = 4;
   for (int i = 0; i < kFailingJobs; ++i) {
     const std::string id = "job-" + std::to_string(10 + i);
-    cluster.submit(array_job(id, 12), 20 + 3 * i);
+    cluster.submit(short_array(id, 12), 20 + 3 * i);
     cluster.at(20 + 3 * i, [&cluster, id] { cluster.fail_all_tasks_of(id); });
     cluster.cancel(id, 170);
   }
   for (int i = 0; i < 12; ++i)
-    cluster.submit(array_job("job-" + std::to_string(30 + i), 2), 21 + 8 * i);
+    cluster.submit(short_array("job-" + std::to_string(30 + i), 2), 21 + 8 * i);
   EXPECT_TRUE(machines_marked_for_deletion_until(cluster, 230).empty());
   EXPECT_TRUE(cluster.violations.empty());
   for (int i = 0; i < 12; ++i)
@@ -90,12 +83,12 @@
 
 TEST(FailureAttribution, AFaultyMachineIsMarkedForDeletionAndItsJobsCompleteElsewhere) {
   ClusterSimulation cluster(stable_fleet_options());
-  auto first = array_job("job-1", 2);
+  auto first = short_array("job-1", 2);
   first.estimate_s = 30;
   cluster.submit(first, 3);
   cluster.at(25, [&cluster] { cluster.fail_tasks_on_machine_of("job-1", 1000); });
   for (int i = 0; i < 8; ++i)
-    cluster.submit(array_job("job-" + std::to_string(10 + i), 3), 26 + 5 * i);
+    cluster.submit(short_array("job-" + std::to_string(10 + i), 3), 26 + 5 * i);
   EXPECT_FALSE(machines_marked_for_deletion_until(cluster, 120).empty());
   EXPECT_TRUE(cluster.violations.empty());
   for (int i = 0; i < 8; ++i)
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "simulation/generated_faults.h"
+#include "simulation/scenario.h"
 
 namespace rushtrestle::testing {
 namespace {
@@ -12,10 +13,7 @@
   const auto seed = *rc::gen::arbitrary<uint64_t>();
   const auto schedule =
       *rc::gen::resize(8, rc::gen::container<std::vector<Fault>>(generated_fault()));
-  ClusterSimulation::Options options;
-  options.seed = seed;
-  options.trace = std::getenv("WORLD_TRACE") != nullptr;
-  ClusterSimulation sim(options);
+  ClusterSimulation sim(options_with_seed(seed));
   std::mt19937_64 rng(seed);
   constexpr int kJobs = 24;
   for (int i = 0; i < kJobs; ++i) {
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -3,32 +3,21 @@
 #include <rapidcheck/gtest.h>
 
 #include "simulation/generated_faults.h"
+#include "simulation/scenario.h"
 
 namespace rushtrestle::testing {
 namespace {
 
 store::JobSpec gang_spec(const std::string& id, uint32_t tasks, double cpus, double seconds) {
-  store::JobSpec spec;
-  spec.id = id;
+  store::JobSpec spec = array_job(id, tasks, {cpus, 0, 2}, seconds);
   spec.job_class = "joint";
-  spec.team = "red";
   spec.kind = store::JobKind::gang;
-  spec.rank = store::Rank::normal;
-  spec.tasks = tasks;
-  spec.per_task = {cpus, 0, 2};
-  spec.image = "img";
-  spec.image_gb = 1;
-  spec.estimate_s = seconds;
   spec.one_zone = true;
   spec.checkpoint_s = 5;
   spec.save_s = 1;
   return spec;
 }
 
-std::string first_violation(const ClusterSimulation& sim) {
-  return sim.violations.empty() ? "" : sim.violations.front();
-}
-
 TEST(Gangs, StartAllTasksAtOnceAndAreProvisionedAsAWhole) {
   ClusterSimulation sim({});
   sim.submit(gang_spec("job-1", 4, 2, 10), 3);
--- a/tests/overlapping_faults_test.cpp
+++ b/tests/overlapping_faults_test.cpp
@@ -3,30 +3,17 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "simulation/cluster_simulation.h"
+#include "simulation/scenario.h"
 
 namespace rushtrestle::testing {
 namespace {
 
-store::JobSpec service_job(const std::string& id, uint32_t tasks, double cpus) {
-  store::JobSpec spec;
-  spec.id = id;
-  spec.job_class = "gateway";
-  spec.team = "red";
-  spec.kind = store::JobKind::service;
-  spec.rank = store::Rank::production;
-  spec.tasks = tasks;
-  spec.per_task = {cpus, 0, 2};
-  spec.image = "img";
-  spec.image_gb = 1;
+store::JobSpec spread_service(const std::string& id, uint32_t tasks, double cpus) {
+  store::JobSpec spec = service_job(id, tasks, {cpus, 0, 2});
   spec.spread = true;
   return spec;
 }
 
-std::string first_violation(const ClusterSimulation& sim) {
-  return sim.violations.empty() ? "" : sim.violations.front();
-}
-
 constexpr int kHolder = 1;     // shard leader of team red
 constexpr int kConfirmer = 2;  // home of the cluster leader's key, as the last controller by name
 constexpr int kFollower = 0;
@@ -45,8 +32,8 @@
                       std::set<int> nodes_without_new_peer_fields = {})
       : sim(make_options(seed, std::move(nodes_without_new_peer_fields))),
         outage_at(kRefusedAt + outage_after_s) {
-    for (int i = 0; i < kJobs; ++i) sim.submit(service_job("job-" + std::to_string(i), 2, 2), 3);
-    sim.submit(service_job("job-stays", 4, 2), 3);
+    for (int i = 0; i < kJobs; ++i) sim.submit(spread_service("job-" + std::to_string(i), 2, 2), 3);
+    sim.submit(spread_service("job-stays", 4, 2), 3);
     sim.run_until(kRefusedAt);
     sim.refuse_state(kHolder, outage_after_s + 2);
     for (int i = 0; i < kJobs; ++i)
@@ -170,24 +157,16 @@
   RC_ASSERT(sim.running("job-stays") == 4u);
 }
 
-store::JobSpec array_job(const std::string& id, const std::string& team, uint32_t tasks,
-                         double seconds) {
-  store::JobSpec spec = service_job(id, tasks, 2);
+store::JobSpec spot_array(const std::string& id, const std::string& team, uint32_t tasks,
+                          double seconds) {
+  store::JobSpec spec = array_job(id, tasks, {2, 0, 2}, seconds);
   spec.team = team;
-  spec.job_class = "batch";
-  spec.kind = store::JobKind::array;
-  spec.rank = store::Rank::normal;
-  spec.estimate_s = seconds;
   spec.spot = true;
-  spec.spread = false;
   return spec;
 }
 
 ClusterSimulation::Options random_options() {
-  ClusterSimulation::Options options;
-  options.seed = *rc::gen::arbitrary<uint64_t>();
-  options.trace = std::getenv("WORLD_TRACE") != nullptr;
-  return options;
+  return options_with_seed(*rc::gen::arbitrary<uint64_t>());
 }
 
 std::string job_id(int i) { return "job-" + std::to_string(i); }
@@ -221,8 +200,8 @@
   sim.query_after_status_changes(100);
   std::vector<store::JobSpec> jobs;
   for (int i = 0; i < 24; ++i) {
-    jobs.push_back(i % 4 ? array_job(job_id(i), i % 2 ? "red" : "blue", 1 + i % 3, 4 + i % 7)
-                         : service_job(job_id(i), 2, 2));
+    jobs.push_back(i % 4 ? spot_array(job_id(i), i % 2 ? "red" : "blue", 1 + i % 3, 4 + i % 7)
+                         : spread_service(job_id(i), 2, 2));
     const double at = 3 + *rc::gen::inRange(0, 500) / 10.0;
     sim.submit(jobs.back(), at);
     if (i % 5 == 0) sim.cancel(job_id(i), at + 0.02);
@@ -248,7 +227,7 @@
   std::vector<store::JobSpec> jobs;
   constexpr int kJobs = 40;
   for (int i = 0; i < kJobs; ++i) {
-    jobs.push_back(array_job(job_id(i), i % 2 ? "red" : "blue", 3, 4 + i % 9));
+    jobs.push_back(spot_array(job_id(i), i % 2 ? "red" : "blue", 3, 4 + i % 9));
     jobs.back().per_task.cpus = 4;
     sim.submit(jobs.back(), 3 + 0.2 * i);
   }
@@ -282,8 +261,8 @@
   ClusterSimulation sim(random_options());
   std::vector<store::JobSpec> jobs;
   for (int i = 0; i < 30; ++i) {
-    jobs.push_back(i % 3 ? service_job(job_id(i), 1 + i % 2, 2)
-                         : array_job(job_id(i), i % 2 ? "red" : "blue", 2, 120));
+    jobs.push_back(i % 3 ? spread_service(job_id(i), 1 + i % 2, 2)
+                         : spot_array(job_id(i), i % 2 ? "red" : "blue", 2, 120));
     sim.submit(jobs.back(), 3 + 0.1 * i);
   }
   const double back_after = *rc::gen::element(0.1, 0.8, 5.0, 20.0);
@@ -324,7 +303,7 @@
   ClusterSimulation sim(options);
   std::vector<store::JobSpec> jobs;
   for (int i = 0; i < 12; ++i) {
-    jobs.push_back(i % 2 ? service_job(job_id(i), 4, 4) : array_job(job_id(i), "blue", 5, 15));
+    jobs.push_back(i % 2 ? spread_service(job_id(i), 4, 4) : spot_array(job_id(i), "blue", 5, 15));
     sim.submit(jobs.back(), 3 + 1.5 * i);
   }
   const bool at_once = *rc::gen::arbitrary<bool>();
@@ -356,7 +335,7 @@
     ClusterSimulation sim(options);
     // Capacity becomes free in small steps, so that a later placement prefers another machine.
     for (int i = 0; i < 24; ++i)
-      sim.submit(array_job(job_id(i), i % 2 ? "red" : "blue", 1 + i % 4, 4 + i % 5), 3 + 0.7 * i);
+      sim.submit(spot_array(job_id(i), i % 2 ? "red" : "blue", 1 + i % 4, 4 + i % 5), 3 + 0.7 * i);
     sim.at(5, [&sim] { sim.lose_transaction_answers(25, 0.6, false); });
     sim.run_until(120);
     EXPECT_TRUE(sim.violations.empty()) << first_violation(sim) << ", seed " << seed;
@@ -371,8 +350,8 @@
   ClusterSimulation sim(random_options());
   std::vector<store::JobSpec> jobs;
   for (int i = 0; i < 16; ++i) {
-    jobs.push_back(i % 2 ? service_job(job_id(i), 2, 2)
-                         : array_job(job_id(i), i % 4 ? "red" : "blue", 3, 6 + 2 * i));
+    jobs.push_back(i % 2 ? spread_service(job_id(i), 2, 2)
+                         : spot_array(job_id(i), i % 4 ? "red" : "blue", 3, 6 + 2 * i));
     sim.submit(jobs.back(), 3 + i);
     if (i % 5 == 0) sim.cancel(job_id(i), 25 + i);
   }
@@ -397,8 +376,8 @@
     ClusterSimulation::Options options;
     options.seed = seed;
     ClusterSimulation sim(options);
-    sim.submit(array_job("job-1", "red", 6, 45), 3);
-    sim.submit(service_job("job-2", 4, 2), 3);
+    sim.submit(spot_array("job-1", "red", 6, 45), 3);
+    sim.submit(spread_service("job-2", 4, 2), 3);
     sim.run_until(30);
     for (size_t machine = 0; machine < 2; ++machine) sim.block_heartbeats(machine, 250);
     sim.run_until(125);
@@ -415,7 +394,7 @@
   constexpr int kPerSecond = 4, kJobs = 120 * kPerSecond;
   for (int i = 0; i < kJobs; ++i) {
     const double at = 5 + i / static_cast<double>(kPerSecond);
-    sim.submit(array_job(job_id(i), i % 2 ? "red" : "blue", 1, 5), at);
+    sim.submit(spot_array(job_id(i), i % 2 ? "red" : "blue", 1, 5), at);
     if (i % 4 == 0) sim.cancel(job_id(i), at + 1 + i % 9);
   }
   int late = 0, not_taken_at_once = 0;
@@ -486,7 +465,7 @@
       {"more jobs than capacity, of low to high rank, over slow links",
        [](ClusterSimulation& sim, std::mt19937_64& rng) {
          for (int i = 0; i < 30; ++i) {
-           auto job = array_job("job-x" + std::to_string(i), rng() % 2 ? "red" : "blue", 4, 12);
+           auto job = spot_array("job-x" + std::to_string(i), rng() % 2 ? "red" : "blue", 4, 12);
            job.rank = static_cast<store::Rank>(rng() % 3);
            job.per_task.cpus = 8;
            sim.submit(job, 25 + i);
@@ -554,8 +533,9 @@
       std::vector<store::JobSpec> jobs;
       for (int i = 0; i < 14; ++i) {
         const bool is_service = i % 3 == 0;
-        jobs.push_back(is_service ? service_job(job_id(i), 2, 2)
-                                  : array_job(job_id(i), i % 2 ? "red" : "blue", 2 + i % 2, 5 + i));
+        jobs.push_back(is_service
+                           ? spread_service(job_id(i), 2, 2)
+                           : spot_array(job_id(i), i % 2 ? "red" : "blue", 2 + i % 2, 5 + i));
         if (i % 4 == 1 && !is_service) jobs.back().one_zone = true;
         if (i % 5 == 2) {
           jobs.back().checkpoint_s = 4;
--- a/tests/repeated_requests_test.cpp
+++ b/tests/repeated_requests_test.cpp
@@ -6,6 +6,7 @@
 #include <ostream>
 
 #include "simulation/generated_faults.h"
+#include "simulation/scenario.h"
 
 namespace rushtrestle::testing {
 namespace {
@@ -14,28 +15,6 @@
 constexpr double kCancelS = 39;  // of the simulation's settings
 constexpr const char* kJob = "job-repeated";
 
-store::JobSpec small_job(const std::string& id, store::JobKind kind, uint32_t tasks) {
-  store::JobSpec spec;
-  spec.id = id;
-  spec.job_class = "batch";
-  spec.team = "red";
-  spec.kind = kind;
-  spec.rank = store::Rank::production;
-  spec.tasks = tasks;
-  spec.per_task = {1, 0, 1};
-  spec.image = "img";
-  spec.image_gb = 1;
-  spec.estimate_s = kind == store::JobKind::service ? 0 : 300;
-  return spec;
-}
-
-ClusterSimulation::Options options_with(uint64_t seed) {
-  ClusterSimulation::Options options;
-  options.seed = seed;
-  options.trace = std::getenv("WORLD_TRACE") != nullptr;
-  return options;
-}
-
 /// A service keeps a machine; later a job of the same team is submitted, and all requests from then
 /// on are repeated once.
 void start_with_repeats(ClusterSimulation& sim, store::JobKind kind,
@@ -51,7 +30,7 @@
 TEST(RepeatedRequests, ARepeatedStartRunsNoCancelledTask) {
   for (const bool leader_ends : {false, true}) {
     for (const auto kind : {store::JobKind::service, store::JobKind::array, store::JobKind::gang}) {
-      ClusterSimulation sim(options_with(1));
+      ClusterSimulation sim(options_with_seed(1));
       start_with_repeats(sim, kind, {kCancelS + 6, kCancelS + 10});
       sim.cancel(kJob, kSubmittedAt + 4);
       if (leader_ends)
@@ -70,7 +49,7 @@
 TEST(RepeatedRequests, ARepeatedStartRunsNoTaskThatHasMoved) {
   constexpr double kFailsForS = 6;
   for (const uint64_t seed : {2, 3, 4, 6, 7}) {
-    ClusterSimulation sim(options_with(seed));
+    ClusterSimulation sim(options_with_seed(seed));
     auto large = small_job("job-large", store::JobKind::service, 2);
     large.per_task = {9, 0, 1};  // one of them fills a machine, so two machines are up
     sim.submit(large, 3);
@@ -87,7 +66,7 @@
 
 // Ended tasks are forgotten soon, and the fencing tokens that this takes cost no write.
 TEST(RepeatedRequests, EndedTasksAreForgottenWithoutAWriteOfTheMachine) {
-  ClusterSimulation sim(options_with(1));
+  ClusterSimulation sim(options_with_seed(1));
   sim.submit(small_job("job-stays", store::JobKind::service, 2), 3);
   sim.run_until(kSubmittedAt);
   constexpr int kJobs = 30;
@@ -140,7 +119,7 @@
 // of the repeats and up to a few other faults.
 RC_GTEST_PROP(RepeatedRequests, NoRepeatBreaksARule, ()) {
   const auto c = *repeated_case();
-  ClusterSimulation sim(options_with(c.seed));
+  ClusterSimulation sim(options_with_seed(c.seed));
   std::mt19937_64 rng(c.seed);
   constexpr int kJobs = 20;
   for (int i = 0; i < kJobs; ++i) {
--- a/tests/requeue_test.cpp
+++ b/tests/requeue_test.cpp
@@ -5,7 +5,7 @@
 #include <limits>
 
 #include "coordination/preemption/nomination.h"
-#include "simulation/cluster_simulation.h"
+#include "simulation/scenario.h"
 
 namespace rushtrestle::coordination {
 namespace {
@@ -85,14 +85,9 @@
 }
 
 store::JobSpec batch_job(const std::string& id, uint32_t tasks, double estimate) {
-  store::JobSpec spec;
-  spec.id = id;
-  spec.job_class = "batch";
-  spec.team = "red";
-  spec.tasks = tasks;
-  spec.per_task = {16, 0, 1};
+  store::JobSpec spec = testing::array_job(id, tasks, {16, 0, 1}, estimate);
   spec.image = "i";
-  spec.estimate_s = estimate;
+  spec.image_gb = 0;
   return spec;
 }
 
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -2,7 +2,7 @@
 // work done grows with the size of the fleet. All times are simulated.
 #include <gtest/gtest.h>
 
-#include "simulation/cluster_simulation.h"
+#include "simulation/scenario.h"
 
 namespace rushtrestle::testing {
 namespace {
@@ -16,24 +16,13 @@
 }
 
 store::JobSpec service_spec(int index, int team_count, uint32_t tasks) {
-  store::JobSpec spec;
-  spec.id = "job-" + std::to_string(index);
-  spec.job_class = "gateway";
+  store::JobSpec spec = service_job("job-" + std::to_string(index), tasks, {2, 0, 4});
   spec.team = "team-" + std::to_string(index % team_count);
-  spec.kind = store::JobKind::service;
-  spec.rank = store::Rank::production;
-  spec.tasks = tasks;
-  spec.per_task = {2, 0, 4};
   spec.image = "img-" + std::to_string(index % 5);
-  spec.image_gb = 1;
   spec.spread = true;
   return spec;
 }
 
-std::string first_violation(const ClusterSimulation& sim) {
-  return sim.violations.empty() ? "" : sim.violations.front();
-}
-
 // Guards against provisioning requests that wait in a queue: each shard sent one request for a few
 // machines, behind requests for a machine type that the cloud had already refused. At two cloud
 // calls per second, the fleet came up minutes late.
--- a/tests/starvation_test.cpp
+++ b/tests/starvation_test.cpp
@@ -3,29 +3,11 @@
 // once there is CPU time again.
 #include <gtest/gtest.h>
 
-#include "simulation/cluster_simulation.h"
+#include "simulation/scenario.h"
 
 namespace rushtrestle::testing {
 namespace {
 
-store::JobSpec service_spec(const std::string& id, uint32_t tasks) {
-  store::JobSpec spec;
-  spec.id = id;
-  spec.job_class = "gateway";
-  spec.team = "red";
-  spec.kind = store::JobKind::service;
-  spec.rank = store::Rank::production;
-  spec.tasks = tasks;
-  spec.per_task = {8, 0, 8};
-  spec.image = "img";
-  spec.image_gb = 1;
-  return spec;
-}
-
-std::string first_violation(const ClusterSimulation& sim) {
-  return sim.violations.empty() ? "" : sim.violations.front();
-}
-
 ClusterSimulation::Options fleet_options() {
   ClusterSimulation::Options options;
   options.boot_failures = false;
@@ -44,7 +26,7 @@
     auto options = fleet_options();
     options.seed = seed;
     ClusterSimulation sim(options);
-    sim.submit(service_spec("job-1", 16), 3);
+    sim.submit(service_job("job-1", 16, {8, 0, 8}), 3);
     sim.run_until(40);
     ASSERT_EQ(sim.running("job-1"), 16u);
     const int holder = sim.shard_holder_of("job-1").value();
@@ -62,13 +44,13 @@
 // retry. It still accepts submissions.
 TEST(Starvation, PollsAreShedAndSubmissionsTaken) {
   ClusterSimulation sim(fleet_options());
-  sim.submit(service_spec("job-1", 2), 3);
+  sim.submit(service_job("job-1", 2, {8, 0, 8}), 3);
   sim.run_until(40);
   for (int n = 0; n < 3; ++n) sim.starve_node(n, 30, 0.9);
   sim.run_until(45);
   const auto before = sim.counters();
   for (int i = 0; i < 20; ++i) sim.query_job("job-1", 46 + i, i % 3);
-  sim.submit(service_spec("job-2", 2), 50);
+  sim.submit(service_job("job-2", 2, {8, 0, 8}), 50);
   sim.run_until(120);
   EXPECT_GT(sim.counters().retry_later_answers, before.retry_later_answers);
   EXPECT_TRUE(sim.accepted("job-2"));
@@ -86,7 +68,7 @@
       options.seed = seed;
       ClusterSimulation sim(options);
       for (int i = 0; i < 12; ++i) {
-        sim.submit(service_spec("job-" + std::to_string(i), 2), 3 + 2.0 * i);
+        sim.submit(service_job("job-" + std::to_string(i), 2, {8, 0, 8}), 3 + 2.0 * i);
         if (i % 2) sim.cancel("job-" + std::to_string(i), 22 + 2.0 * i);
       }
       sim.run_until(20 + static_cast<double>(seed));
@@ -107,7 +89,7 @@
   auto options = fleet_options();
   options.memory_in_use_mb = 55;
   ClusterSimulation sim(options);
-  sim.submit(service_spec("job-1", 2), 3);
+  sim.submit(service_job("job-1", 2, {8, 0, 8}), 3);
   sim.run_until(30);
   EXPECT_FALSE(sim.accepted("job-1"));
   EXPECT_GT(sim.counters().retry_later_answers, 0u);
--- a/tests/versions_test.cpp
+++ b/tests/versions_test.cpp
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "simulation/generated_faults.h"
+#include "simulation/scenario.h"
 #include "versions/previous_version.h"
 
 namespace rushtrestle::testing {
@@ -158,16 +159,7 @@
 }
 
 store::JobSpec large_array(uint32_t tasks, double estimate_s) {
-  store::JobSpec spec;
-  spec.id = "job-1";
-  spec.job_class = "batch";
-  spec.team = "red";
-  spec.tasks = tasks;
-  spec.per_task = {1, 0, 2};
-  spec.image = "img";
-  spec.image_gb = 1;
-  spec.estimate_s = estimate_s;
-  return spec;
+  return array_job("job-1", tasks, {1, 0, 2}, estimate_s);
 }
 
 // The first version fills a job record up to the value size limit. Then all controllers are
--- a/tests/write_path_test.cpp
+++ b/tests/write_path_test.cpp
@@ -2,15 +2,11 @@
 // events interact with it, and that the loss of the buffering controller loses no work.
 #include <gtest/gtest.h>
 
-#include "simulation/cluster_simulation.h"
+#include "simulation/scenario.h"
 
 namespace rushtrestle::testing {
 namespace {
 
-std::string first_violation(const ClusterSimulation& sim) {
-  return sim.violations.empty() ? "" : sim.violations.front();
-}
-
 /// Allows four puts per second for three controllers, so that every burst exceeds the budget.
 ClusterSimulation::Options short_budget(uint64_t seed = 1) {
   ClusterSimulation::Options options;
@@ -25,16 +21,11 @@
   return options;
 }
 
-store::JobSpec array_job(const std::string& id, uint32_t tasks, const std::string& team = "red") {
-  store::JobSpec spec;
-  spec.id = id;
-  spec.job_class = "batch";
+store::JobSpec short_array(const std::string& id, uint32_t tasks, const std::string& team = "red") {
+  constexpr double kRunS = 10;
+  store::JobSpec spec = array_job(id, tasks, {1, 0, 1}, kRunS);
   spec.team = team;
-  spec.tasks = tasks;
-  spec.per_task = {1, 0, 1};
-  spec.image = "img";
   spec.image_gb = 0.1;
-  spec.estimate_s = 10;
   return spec;
 }
 
@@ -47,7 +38,8 @@
 /// Submits jobs of `tasks` tasks each that run at the same time.
 void submit_jobs(ClusterSimulation& sim, int jobs, uint32_t tasks, double at) {
   for (int i = 0; i < jobs; ++i)
-    sim.submit(array_job("job-" + std::to_string(i), tasks, i % 2 ? "blue" : "red"), at + 0.1 * i);
+    sim.submit(short_array("job-" + std::to_string(i), tasks, i % 2 ? "blue" : "red"),
+               at + 0.1 * i);
 }
 
 void expect_all_done(const ClusterSimulation& sim, int jobs) {
@@ -130,7 +122,7 @@
   sim.run_until(50);
   for (size_t n = 0; n < 3; ++n) sim.kill_machine(n);
   for (int i = kJobs; i < kJobs + kLaterJobs; ++i)
-    sim.submit(array_job("job-" + std::to_string(i), 1, i % 2 ? "blue" : "red"), 50);
+    sim.submit(short_array("job-" + std::to_string(i), 1, i % 2 ? "blue" : "red"), 50);
   sim.run_until(300);
   expect_all_done(sim, kJobs + kLaterJobs);
 }
@@ -141,8 +133,9 @@
   options.nodes = 1;  // one controller leads the shard of both teams
   options.trace = std::getenv("WORLD_TRACE") != nullptr;
   ClusterSimulation sim(options);
-  for (int i = 0; i < 60; ++i) sim.submit(array_job("job-" + std::to_string(i), 2), 30 + 0.05 * i);
-  auto urgent = array_job("job-urgent", 1, "blue");
+  for (int i = 0; i < 60; ++i)
+    sim.submit(short_array("job-" + std::to_string(i), 2), 30 + 0.05 * i);
+  auto urgent = short_array("job-urgent", 1, "blue");
   urgent.rank = store::Rank::high;
   sim.submit(urgent, 45);
   sim.run_until(44);
