Remove the write that made a worker forget an ended task on an idle state store

The end of a task is written after its start was sent, so the state cache reaches a revision above the token of that start without any further write. Only an ended task that no record names could wait, and only until the state store's next change; it takes no capacity.

Change: `may_forget` is one line, and machines carry no time of waiting any more. Starts that were not answered still have a machine's record rewritten where nothing else moves the revision: the lease of a worker may depend on it.

--- a/src/coordination/shard/shard_machine.h
+++ b/src/coordination/shard/shard_machine.h
@@ -69,8 +69,6 @@
   /// Fencing token that the StartFence has chosen; 0: none. ShardState::fencing_token uses the
   /// higher of this one and that of the records.
   uint64_t raised_token = 0;
-  /// Since when an ended task can't be forgotten for want of a higher fencing token; 0: none waits.
-  double forget_blocked_since = 0;
 
   // Writes of the machine's record.
   bool marking_for_deletion = false;
--- a/src/coordination/shard/start_fence.cpp
+++ b/src/coordination/shard/start_fence.cpp
@@ -71,18 +71,11 @@
                           });
 }
 
-// The revision of the state store is above the token of each start whose end is durable, once the
-// state cache has reached that end. Only an attempt that no record names can be blocked for longer,
-// on a store that nobody writes to.
+// An end is written after its start was sent, so the state cache is above that start's token once
+// it has reached the end. An ended task that no record names waits for the state store's next
+// change.
 bool StartFence::may_forget(ShardMachine& machine) {
-  if (raise_token_above(machine, machine.last_start_token)) {
-    machine.forget_blocked_since = 0;
-    return true;
-  }
-  if (machine.forget_blocked_since == 0) machine.forget_blocked_since = context_.now;
-  if (context_.now - machine.forget_blocked_since >= context_.settings.heartbeat_interval_s)
-    raise_token_by_write(machine, machine.last_start_token);
-  return false;
+  return raise_token_above(machine, machine.last_start_token);
 }
 
 // A worker that has not seen a token of this shard leader still accepts commands of a former one.
--- a/src/coordination/shard/start_fence.h
+++ b/src/coordination/shard/start_fence.h
@@ -19,8 +19,9 @@
 // Both need a higher token now and then. Any revision of the state store will do up to which the
 // state cache shows this controller as the leader of the machine's shard: the token of a later
 // leader is the mod revision of a later write. So a token is raised without a write, as long as the
-// state store's revision has moved on since the start; on an idle store the machine's record is
-// rewritten.
+// state store's revision has moved on since the start. The end of a task, which `forget` waits for,
+// moves it. For a start that was not answered the machine's record is rewritten if nothing else
+// has.
 //
 // Called by HeartbeatIntake, HeartbeatHandler, TaskReconciler and CommandDispatcher.
 #pragma once
@@ -55,7 +56,7 @@
   /// sent.
   bool start_may_arrive(const ShardMachine& machine) const;
   /// Whether the worker may be told, under the present fencing token, to forget ended tasks. Raises
-  /// the token if necessary and possible; else a later call returns true.
+  /// the token if necessary; else a later call returns true, once the state cache has the end.
   bool may_forget(ShardMachine& machine);
   /// Whether the answer to this heartbeat of a machine whose shard is led here may renew the
   /// worker's lease.
