Test: repeated requests among evictions, failed tasks and refused starts

Cause: the generated test of repeated requests said that it covers them, but in its 60 cases no task was evicted, failed or refused: 0 requeue commits, 0 task errors, 0 refused starts.

Change: two more dimensions. A scarce case has two machines in all and jobs that run past their expected runtime; in a case with failing machines one fails its tasks for a while and another refuses starts, a new fault of the simulation.

--- a/tests/repeated_requests_test.cpp
+++ b/tests/repeated_requests_test.cpp
@@ -94,41 +94,74 @@
   double share;
   double min_delay_s;
   double max_delay_s;
+  bool scarce;         // two machines in all, and jobs that are evicted for others
+  bool machines_fail;  // now and then one fails all its tasks and another refuses starts
   std::vector<Fault> faults;
 };
 
 std::ostream& operator<<(std::ostream& out, const RepeatedCase& c) {
   out << "{seed " << c.seed << ", share " << c.share << ", delay " << c.min_delay_s << " to "
-      << c.max_delay_s;
+      << c.max_delay_s << (c.scarce ? ", scarce" : "")
+      << (c.machines_fail ? ", machines fail" : "");
   for (const auto& fault : c.faults) out << ", " << fault;
   return out << "}";
 }
 
 rc::Gen<RepeatedCase> repeated_case() {
   return rc::gen::apply(
-      [](uint64_t seed, int share, int min_delay_s, int more_s, std::vector<Fault> faults) {
+      [](uint64_t seed, int share, int min_delay_s, int more_s, bool scarce, bool machines_fail,
+         std::vector<Fault> faults) {
         const double from = min_delay_s;
-        return RepeatedCase{seed, share / 10.0, from, from + more_s, std::move(faults)};
+        return RepeatedCase{seed,          share / 10.0,     from, from + more_s, scarce,
+                            machines_fail, std::move(faults)};
       },
       rc::gen::inRange<uint64_t>(1, 1000000), rc::gen::inRange(2, 11), rc::gen::inRange(1, 45),
-      rc::gen::inRange(1, 60),
+      rc::gen::inRange(1, 60), rc::gen::arbitrary<bool>(), rc::gen::arbitrary<bool>(),
       rc::gen::resize(3, rc::gen::container<std::vector<Fault>>(generated_fault())));
 }
 
+ClusterSimulation::Options options_of(const RepeatedCase& c) {
+  auto options = options_with_seed(c.seed);
+  if (!c.scarce) return options;
+  options.types = {{"small", {16, 0, 64}, 50, 0.5, 1, 0.4, 5, {"a", "b"}}};
+  options.capacity = {{"small", 1}};
+  options.boot_failures = false;
+  options.requeue_delay_s = 10;
+  options.run_factor = 6;  // jobs run past their expected runtime, so they can be evicted
+  return options;
+}
+
+/// Returns a job of any kind; in a scarce case one that fills half of a machine with each task.
+store::JobSpec job_of(const RepeatedCase& c, int number, std::mt19937_64& rng) {
+  store::JobSpec spec = random_job(number, rng);
+  if (!c.scarce) return spec;
+  spec = array_job(spec.id, 1 + static_cast<uint32_t>(rng() % 2), {8, 0, 1}, 4);
+  spec.rank = static_cast<store::Rank>(rng() % 3);
+  if (rng() % 4 == 0) spec.kind = store::JobKind::gang;
+  if (rng() % 2) spec.checkpoint_s = spec.save_s = 2;
+  return spec;
+}
+
 // The generated form: jobs of all kinds that end, fail, are cancelled, evicted and moved, any delay
 // of the repeats and up to a few other faults.
 RC_GTEST_PROP(RepeatedRequests, NoRepeatBreaksARule, ()) {
   const auto c = *repeated_case();
-  ClusterSimulation sim(options_with_seed(c.seed));
+  ClusterSimulation sim(options_of(c));
   std::mt19937_64 rng(c.seed);
   constexpr int kJobs = 20;
   for (int i = 0; i < kJobs; ++i) {
     const double at = 2 + static_cast<double>(rng() % 100);
-    sim.submit(random_job(i, rng), at);
+    sim.submit(job_of(c, i, rng), at);
     if (rng() % 3 == 0)
       sim.cancel("job-" + std::to_string(i), at + 3 + static_cast<double>(rng() % 40));
   }
   sim.at(5, [&sim, c] { sim.repeat_requests(160, c.share, {c.min_delay_s, c.max_delay_s}); });
+  for (size_t i = 0; c.machines_fail && i < 4; ++i) {
+    sim.at(20 + 25 * static_cast<double>(i), [&sim, i] {
+      sim.fail_tasks_on_machine(i, 8);
+      sim.refuse_starts_on_machine(i + 1, 8);
+    });
+  }
   for (const auto& fault : c.faults) sim.at(fault.at, [&sim, fault] { inject(sim, fault); });
   sim.run_until(300);
   for (const auto& violation : sim.violations) RC_LOG() << violation << "\n";
--- a/tests/simulation/cluster_simulation.h
+++ b/tests/simulation/cluster_simulation.h
@@ -125,6 +125,8 @@
   void hang_machine(size_t machine_index, double for_s);
   /// Tasks that start on the machine exit with an error.
   void fail_tasks_on_machine(size_t machine_index, double for_s);
+  /// The machine refuses starts for want of room.
+  void refuse_starts_on_machine(size_t machine_index, double for_s);
   /// Cuts a machine off from all; `only_inbound` leaves its own messages through.
   void cut_machine(size_t machine_index, double for_s, bool hold, bool only_inbound);
   /// Cuts a controller off from all.
@@ -261,6 +263,7 @@
     enum class Phase { booting, up, dead } phase = Phase::booting;
     std::optional<double> reclaimed_at;  // time at which the cloud deletes it
     double hang_until = 0, tasks_fail_until = 0, heartbeats_blocked_until = 0;  // times
+    double refuses_starts_until = 0;
     uint64_t agent_epoch = 1;    // increases when its lease ends
     uint64_t sequence = 0;       // of its last heartbeat or command reply
     uint64_t fencing_token = 0;  // largest seen
--- a/tests/simulation/fault_injection.cpp
+++ b/tests/simulation/fault_injection.cpp
@@ -76,6 +76,9 @@
 void ClusterSimulation::fail_tasks_on_machine(size_t machine_index, double for_s) {
   if (Worker* worker = pick_worker(machine_index)) worker->tasks_fail_until = now_ + for_s;
 }
+void ClusterSimulation::refuse_starts_on_machine(size_t machine_index, double for_s) {
+  if (Worker* worker = pick_worker(machine_index)) worker->refuses_starts_until = now_ + for_s;
+}
 void ClusterSimulation::cut_machine(size_t machine_index, double for_s, bool hold,
                                     bool only_inbound) {
   if (Worker* worker = pick_worker(machine_index)) cut("*", worker->id, for_s, hold, only_inbound);
--- a/tests/simulation/workers.cpp
+++ b/tests/simulation/workers.cpp
@@ -126,7 +126,7 @@
   Task task;
   task.reported = {command.job,         command.task,    command.attempt,
                    TaskState::fetching, ExitCause::none, false};
-  if (!spec.per_task.fits(free)) {
+  if (!spec.per_task.fits(free) || now_ < worker.refuses_starts_until) {
     task.reported.state = TaskState::exited;
     task.reported.cause = ExitCause::no_room;
   } else {
