Fuzz: valid replies of the state service, the cloud and peers are damaged, too; long replies

Cause: the fuzzed decoders got hardly any body that the cloud or another controller sends, so damage deep in their messages was not tried, and no reply longer than a request's limit but nested JSON.

Change: valid messages of each of these parties are among the bodies that are damaged, a test shows that their decoders accept them undamaged, and nested bodies of 4 MiB go to the decoders of long replies.

--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -157,23 +157,51 @@
           {"bundle", "i"},  {"imageGb", 1.5},   {"breeds", {"g8"}}};
 }
 
-std::vector<std::string> valid_bodies() {
+std::vector<std::string> state_store_replies() {
   const Json record = to_json(store::sample_job_record());
-  const Json entry = {{"k", "job/job-7"}, {"v", record}, {"stamp", 4}};
+  const Json entry = {{"k", "job/job-7"}, {"v", record}, {"stamp", 4}, {"tenancy", 7}};
   const Json event = {{"put", "job/job-7"}, {"v", record}, {"stamp", 4}};
-  ForwardHeartbeat forwarded{"a:1", *decode_heartbeat(*parse_cbor(to_cbor(valid_heartbeat(3))))};
-  SendPeerState peer{"a:1", PeerState{}};
-  return {to_cbor(valid_job()),
-          to_cbor(valid_heartbeat(1000)),
-          to_cbor(record),
+  return {to_cbor(record),
+          to_cbor(entry),
           to_cbor({{"entries", Json::array({entry, entry})}, {"hasNext", true}, {"epoch", 9}}),
           to_cbor({{"log", Json::array({event, event})}, {"epoch", 9}}),
-          to_cbor({{"rigs", Json::array({"n-1", "n-2"})}}),
-          encode(Call{1, 1, forwarded}).body,
-          encode(Call{1, 1, peer}).body,
-          "(requeue-delay 60) (preemptible low normal)",
-          "POST /checkin HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
-          "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551615\r\n\r\nx"};
+          to_cbor({{"failed", Json::array({"job/job-7", "part/0"})}, {"epoch", 9}}),
+          to_cbor({{"tenancy", 7}})};
+}
+
+std::vector<std::string> cloud_replies() {
+  const Json type = {{"sku", "g8"},    {"cores", 96},        {"cards", 8},   {"memoryGb", 768},
+                     {"localGb", 200}, {"pullGbPerS", 1.0},  {"hourly", 12}, {"lowPrice", 4.5},
+                     {"readyS", 45},   {"yards", {"a", "b"}}};
+  const Json machine = {{"id", "n-1"},     {"addr", "10.0.0.1:1"}, {"breed", "g8"}, {"yard", "a"},
+                        {"loaners", true}, {"status", "running"},  {"ageS", 61.5}};
+  return {to_cbor({{"breeds", Json::array({type, type})}}),
+          to_cbor({{"rigs", Json::array({machine, machine})}, {"hasNext", false}}),
+          to_cbor({{"rigs", Json::array({"n-1", "n-2"})}})};
+}
+
+std::vector<std::string> peer_messages() {
+  const ForwardHeartbeat forwarded{"a:1",
+                                   *decode_heartbeat(*parse_cbor(to_cbor(valid_heartbeat(3))))};
+  PeerState state;
+  state.node = "c-1";
+  state.shards = {0, 2};
+  state.machines_heard = {"n-1", "n-2"};
+  state.nodes = {"c-2", "c-3"};
+  HeartbeatResponse response{200, 41, {{WorkerVerb::stop, "job-1", 3, 2, 10}}, "c-2"};
+  return {encode(Call{1, 1, forwarded}).body, encode(Call{1, 1, SendPeerState{"a:1", state}}).body,
+          encode(AnswerForwardedHeartbeat{1, response}).body};
+}
+
+std::vector<std::string> valid_bodies() {
+  std::vector<std::string> bodies = {
+      to_cbor(valid_job()), to_cbor(valid_heartbeat(1000)),
+      "(requeue-delay 60) (preemptible low normal)",
+      "POST /checkin HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551615\r\n\r\nx"};
+  for (const auto& messages : {state_store_replies(), cloud_replies(), peer_messages()})
+    bodies.insert(bodies.end(), messages.begin(), messages.end());
+  return bodies;
 }
 
 // Damages a valid body: a pattern that nests, a lying head or random bytes in the middle of it.
@@ -196,6 +224,23 @@
 
 // ---- tests ----
 
+TEST(DecoderFuzz, TheRepliesThatAreDamagedAreValid) {
+  const auto status = [](ReplyKind kind, const std::string& body) {
+    return decode_reply(1, kind, "job/job-7", 200, body).status;
+  };
+  const auto stored = state_store_replies();
+  EXPECT_EQ(status(kKindOf<ReadKey>, stored[1]), 200);
+  EXPECT_EQ(status(kKindOf<ListKeys>, stored[2]), 200);
+  EXPECT_EQ(status(kKindOf<Watch>, stored[3]), 200);
+  EXPECT_EQ(decode_reply(1, kKindOf<Txn>, "", 409, stored[4]).status, 409);
+  EXPECT_EQ(status(kKindOf<GrantLease>, stored[5]), 200);
+  EXPECT_EQ(status(kKindOf<ListMachineTypes>, cloud_replies()[0]), 200);
+  EXPECT_EQ(status(kKindOf<ListMachines>, cloud_replies()[1]), 200);
+  EXPECT_EQ(status(kKindOf<ProvisionMachines>, cloud_replies()[2]), 200);
+  EXPECT_EQ(status(kKindOf<ForwardHeartbeat>, peer_messages()[2]), 200);
+  EXPECT_EQ(status(kKindOf<SendPeerState>, peer_messages()[1]), 200);
+}
+
 // A body of 60,000 characters '_' ended each controller that read it (review/5).
 TEST(DecoderFuzz, NoBodyOfOneRepeatedByteEndsADecoder) {
   for (int byte = 0; byte < 256; ++byte)
@@ -213,6 +258,17 @@
   }
 }
 
+// Replies, and messages of other controllers, may be longer than requests: a 14th of the memory.
+TEST(DecoderFuzz, NoLongNestedReplyEndsADecoder) {
+  constexpr size_t kLongReply = size_t{4} * 1024 * 1024;
+  for (const auto& pattern : nesting_patterns()) {
+    const std::string nested = repeated(pattern, kLongReply);
+    EXPECT_EQ(decode_reply(1, kKindOf<Watch>, "", 200, nested).status, 0);
+    EXPECT_EQ(decode_reply(1, kKindOf<ListMachines>, "", 200, nested).status, 0);
+    EXPECT_EQ(status_of(decode_peer_request(1, "POST", "/peer", nested)), 400);
+  }
+}
+
 TEST(DecoderFuzz, NoPairOfRepeatedBytesEndsADecoder) {
   Random random(kSeed);
   for (int i = 0; i < kDamagedBodies; ++i)
