--- a/tests/simulation/generated_faults.cpp
+++ b/tests/simulation/generated_faults.cpp
@@ -1,5 +1,7 @@
 #include "simulation/generated_faults.h"
 
+#include "simulation/scenario.h"
+
 namespace rushtrestle::testing {
 
 std::ostream& operator<<(std::ostream& out, const Fault& fault) {
@@ -32,21 +34,32 @@
   sim.cut_workers(static_cast<int>(fault.target % 3), sim.settings().cancel_s + fault.for_s / 3,
                   kHold);
   for (int i = 0; i < kJobs; ++i) {
-    store::JobSpec spec;
-    spec.id = "job-held" + std::to_string(static_cast<int>(fault.at)) + "x" +
-              std::to_string(fault.target) + (fault.variant ? "r" : "b") + std::to_string(i);
-    spec.job_class = "batch";
+    const std::string id = "job-held" + std::to_string(static_cast<int>(fault.at)) + "x" +
+                           std::to_string(fault.target) + (fault.variant ? "r" : "b") +
+                           std::to_string(i);
+    store::JobSpec spec = array_job(id, 2, {1, 0, 1}, 200);
     spec.team = fault.variant ? "red" : "blue";
-    spec.tasks = 2;
-    spec.per_task = {1, 0, 1};
     spec.image = "img-" + std::to_string(i);
-    spec.image_gb = 1;
-    spec.estimate_s = 200;
     sim.submit(spec, sim.now());
     sim.cancel(spec.id, sim.now() + 1 + i);
   }
 }
 
+void restart_twice_within_half_a_second(ClusterSimulation& sim, int node) {
+  sim.kill_node(node, 0.1);
+  sim.at(sim.now() + 0.3, [&sim, node] { sim.kill_node(node, 0.1); });
+}
+
+void change_leaders_repeatedly(ClusterSimulation& sim) {
+  for (int k = 0; k < 6; ++k)
+    sim.at(sim.now() + 4 * k, [&sim, k] { sim.kill_node(k % 3, k % 2 ? 0.2 : 3); });
+}
+
+void repeat_requests(ClusterSimulation& sim, const Fault& fault) {
+  const double share = fault.variant ? 0.5 : 1;
+  sim.repeat_requests(fault.for_s, share, {1, 2 * sim.settings().cancel_s});
+}
+
 }  // namespace
 
 void inject(ClusterSimulation& sim, const Fault& fault) {
@@ -72,10 +85,7 @@
     case 15:
       sim.cut_zone(fault.variant ? "a" : "b", {node}, fault.for_s, fault.target % 2 == 0);
       break;
-    case 16:  // two restarts within half a second
-      sim.kill_node(node, 0.1);
-      sim.at(sim.now() + 0.3, [&sim, node] { sim.kill_node(node, 0.1); });
-      break;
+    case 16: restart_twice_within_half_a_second(sim, node); break;
     case 17: sim.lose_transaction_answers(fault.for_s, 0.3, fault.variant); break;
     case 18: sim.replay_heartbeats_to_new_holders(fault.for_s); break;
     case 19: sim.block_heartbeats(fault.target, fault.for_s); break;
@@ -92,10 +102,7 @@
     case 24:  // loses the state store and the other controllers, but not workers or users
       cut_from_state_and_peers(sim, node, fault);
       break;
-    case 25:  // repeated changes of the leader
-      for (int k = 0; k < 6; ++k)
-        sim.at(sim.now() + 4 * k, [&sim, k] { sim.kill_node(k % 3, k % 2 ? 0.2 : 3); });
-      break;
+    case 25: change_leaders_repeatedly(sim); break;
     case 26: sim.starve_node(node, fault.for_s, fault.variant ? 0.3 : 1.5); break;
     case 27:
       for (int i = 0; i < 3; ++i) sim.starve_node(i, fault.for_s, fault.variant ? 0.2 : 0.8);
@@ -105,9 +112,7 @@
       break;  // a single pause between a decision and the sending of its effects
     case 29: sim.submit_malformed_jobs(fault.for_s); break;
     case 30: hold_starts_of_cancelled_jobs(sim, fault); break;
-    case 31:
-      sim.repeat_requests(fault.for_s, fault.variant ? 0.5 : 1, {1, 2 * sim.settings().cancel_s});
-      break;
+    case 31: repeat_requests(sim, fault); break;
     default: sim.duplicate_heartbeats(fault.for_s, fault.for_s); break;
   }
 }
